Serve the users' platform from one process a box, thin and whole

Cause: the product spoke only its own API; the users' platform has another store, other leafs and callers without a process of ours. Change: a box daemon (box/) with routes (routing/), a pure core for each request (request/), leafs and their conditions (leafs/); platform/ translates settings, store, callers and leafs. Membership is the existing table, over datagrams.

--- /dev/null
+++ b/bin/rackvale_box.ts
@@ -0,0 +1,36 @@
+#!/usr/bin/env node
+/**
+ * The box daemon's program, for the users' platform.
+ *
+ * @module
+ */
+import { Box, boxTelemetry } from "../box/mod.js";
+import { readBoxSettings, SETTINGS_VARIABLE } from "../platform/mod.js";
+import { settingsOrExit } from "../settings/mod.js";
+
+const USAGE = "Usage: rackvale-box [--metrics-port PORT] [--metrics-path PATH]";
+
+const SPECS = {
+  "metrics-port": { kind: "port", help: "Port of the metrics; 0 for none", fallback: "0" },
+  "metrics-path": { kind: "text", help: "Path of the metrics", fallback: "/metrics" },
+} as const;
+
+const { settings: own } = settingsOrExit(USAGE, SPECS);
+const settings = readBoxSettings(process.env[SETTINGS_VARIABLE]);
+if (settings.isErr()) {
+  process.stderr.write(`${settings.error.message}\n`);
+  process.exit(2);
+}
+const telemetry = boxTelemetry(settings.value.box);
+const port = own["metrics-port"];
+const box = new Box({
+  settings: settings.value,
+  telemetry,
+  metrics: port === 0 ? undefined : { port, path: own["metrics-path"] },
+  onEnd: () => process.exit(0),
+});
+process.on("SIGTERM", () => box.stop());
+process.on("SIGINT", () => box.stop());
+// The settings of a process do not change what it does while it runs; a change is only told.
+process.on("SIGHUP", () => telemetry.event("info", "box: settings changed", {}));
+await box.start();
--- /dev/null
+++ b/box/box_telemetry.ts
@@ -0,0 +1,133 @@
+/**
+ * Log lines of a box, bounded in volume and never waited for, and its metrics.
+ *
+ * @module
+ */
+import bunyan from "bunyan";
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import { SonicBoom } from "sonic-boom";
+import type { LogEffect } from "../core/mod.js";
+
+/** Lines a second that are written for requests; more are counted and told once a second. */
+export const REQUEST_LINES_PER_SECOND = 60;
+
+/** Bytes that wait for a slow reader of the log; lines beyond are dropped. */
+const MAX_WAITING_BYTES = 1_048_576;
+
+/** Bytes gathered before they are written, as each write costs a system call. */
+const WRITE_BYTES = 8_192;
+
+/** Longest time that lines are gathered, in milliseconds. */
+const FLUSH_EVERY_MS = 500;
+
+/** Upper bounds of the latency histograms, in milliseconds; around the routes' aims of 80 to 800 ms. */
+const LATENCY_BOUNDS_MS = [
+  5, 10, 20, 40, 60, 80, 100, 150, 200, 300, 500, 800, 1_500, 3_000, 6_000,
+];
+
+/** Values of a log line besides its sentence. */
+export type LogFields = LogEffect["fields"];
+
+/** What a box tells of itself. */
+export interface BoxTelemetry {
+  /** Writes a line, whatever the volume: starts, stops, what is lost and regained. */
+  event(level: LogEffect["level"], sentence: string, fields?: LogFields): void;
+  /** Writes the line of a request, unless too many were written in this second. */
+  requestLine(sentence: string, fields: LogFields): void;
+  readonly requests: Counter<"route" | "outcome">;
+  readonly requestMs: Histogram<"route">;
+  readonly attempts: Counter<"outcome">;
+  readonly extraCalls: Counter<"kind">;
+  readonly storeCalls: Gauge;
+  readonly linesDropped: Counter;
+  /** Gives all metrics as text. */
+  metricsText(): Promise<string>;
+  /** Writes out what was gathered. */
+  flush(): void;
+}
+
+/**
+ * Starts the telemetry of a box.
+ *
+ * @param box - Name of the box.
+ * @param options - File descriptor of the log; standard output by default.
+ * @returns The telemetry.
+ */
+export function boxTelemetry(
+  box: string,
+  { logFd = 1 }: { readonly logFd?: number } = {},
+): BoxTelemetry {
+  const registry = new Registry();
+  const registers = [registry];
+  const linesDropped = new Counter({
+    name: "rackvale_log_lines_dropped_total",
+    help: "Log lines not written, as too many came or the reader was slow",
+    registers,
+  });
+  const sink = new SonicBoom({
+    fd: logFd,
+    sync: false,
+    minLength: WRITE_BYTES,
+    maxLength: MAX_WAITING_BYTES,
+  });
+  sink.on("drop", () => linesDropped.inc());
+  sink.on("error", () => linesDropped.inc());
+  const log = bunyan.createLogger({
+    name: "rackvale-box",
+    box,
+    stream: sink as unknown as NodeJS.WritableStream,
+  });
+  const flushTimer = setInterval(() => sink.flush(), FLUSH_EVERY_MS);
+  flushTimer.unref();
+  let second = 0;
+  let lines = 0;
+  return {
+    event: (level, sentence, fields = {}) => log[level](fields, sentence),
+    requestLine: (sentence, fields) => {
+      const nowSecond = Math.floor(performance.now() / 1_000);
+      if (nowSecond !== second) {
+        second = nowSecond;
+        lines = 0;
+      }
+      lines += 1;
+      if (lines > REQUEST_LINES_PER_SECOND) {
+        linesDropped.inc();
+      } else {
+        log.info(fields, sentence);
+      }
+    },
+    requests: new Counter({
+      name: "rackvale_requests_total",
+      help: "Requests answered, by route and outcome",
+      labelNames: ["route", "outcome"],
+      registers,
+    }),
+    requestMs: new Histogram({
+      name: "rackvale_request_ms",
+      help: "Time from arrival to answer in milliseconds, by route",
+      labelNames: ["route"],
+      buckets: LATENCY_BOUNDS_MS,
+      registers,
+    }),
+    attempts: new Counter({
+      name: "rackvale_leaf_attempts_total",
+      help: "Calls to leafs that ended, by outcome",
+      labelNames: ["outcome"],
+      registers,
+    }),
+    extraCalls: new Counter({
+      name: "rackvale_extra_calls_total",
+      help: "Calls beyond the first of a shard, by kind",
+      labelNames: ["kind"],
+      registers,
+    }),
+    storeCalls: new Gauge({
+      name: "rackvale_store_calls",
+      help: "Calls to the platform's store since the start",
+      registers,
+    }),
+    linesDropped,
+    metricsText: () => registry.metrics(),
+    flush: () => sink.flushSync(),
+  };
+}
--- /dev/null
+++ b/box/caller_server.ts
@@ -0,0 +1,145 @@
+/**
+ * Takes callers' requests over HTTP and writes their answers.
+ *
+ * @module
+ */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import {
+  type CallerAnswer,
+  type CallerTerms,
+  decodeCallerTerms,
+  encodeReply,
+  passedHeaders,
+} from "../platform/mod.js";
+import type { Reply } from "../request/mod.js";
+import type { ForwardedRequest } from "./request_runner.js";
+
+/** A request as it came in, read whole. */
+export interface ArrivedRequest {
+  readonly arrivedAtMs: number;
+  readonly host: string;
+  readonly terms: CallerTerms;
+  readonly forwarded: ForwardedRequest;
+}
+
+/** What is known of an answer once it has been handed to the caller's connection. */
+export type AnswerCall = (reply: Reply) => void;
+
+/** What the server needs of its box. */
+export interface CallerServerOptions {
+  readonly nowMs: () => number;
+  /** Most bytes of a body; bodies over it are refused. */
+  readonly maxBodyBytes: () => number;
+  /** Whether answers ask callers to close their connections, as the box is about to stop. */
+  readonly isLeaving: () => boolean;
+  /** Takes a request; the function returned is called when the caller goes before its answer. */
+  readonly onRequest: (request: ArrivedRequest, answer: AnswerCall) => () => void;
+}
+
+/** Most bytes of headers taken; callers' own limit is lower. */
+const MAX_HEADER_BYTES = 65_536;
+
+/**
+ * Makes the server that faces callers; it is not listening yet.
+ *
+ * @param options - What the server needs of its box.
+ * @returns The server.
+ */
+export function callerServer(options: CallerServerOptions): Server {
+  const server = createServer({ maxHeaderSize: MAX_HEADER_BYTES }, (request, response) => {
+    const arrivedAtMs = options.nowMs();
+    readBody(request, options.maxBodyBytes(), (body) => {
+      if (body === "too long") {
+        writeAnswer(response, TOO_LONG, options);
+        return;
+      }
+      takeRequest({ request, response, body, arrivedAtMs }, options);
+    });
+  });
+  // Whole requests have no bound here: the deadline of each one is kept by its own timers.
+  server.requestTimeout = 0;
+  return server;
+}
+
+const TOO_LONG: CallerAnswer = {
+  statusCode: 413,
+  headers: ["Content-Type", "text/plain"],
+  body: Buffer.from("Cannot take the body: it is too long"),
+};
+
+interface ReadRequest {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly body: Buffer | undefined;
+  readonly arrivedAtMs: number;
+}
+
+function takeRequest(
+  { request, response, body, arrivedAtMs }: ReadRequest,
+  options: CallerServerOptions,
+): void {
+  const forwarded: ForwardedRequest = {
+    method: request.method ?? "GET",
+    path: request.url ?? "/",
+    headers: passedHeaders(request.rawHeaders),
+    body,
+  };
+  const arrived: ArrivedRequest = {
+    arrivedAtMs,
+    host: request.headers.host ?? "",
+    terms: decodeCallerTerms(request.headers),
+    forwarded,
+  };
+  let answered = false;
+  const callerGone = options.onRequest(arrived, (reply) => {
+    answered = true;
+    writeAnswer(response, encodeReply(reply), options);
+  });
+  response.on("close", () => {
+    if (!answered) {
+      answered = true;
+      callerGone();
+    }
+  });
+}
+
+function readBody(
+  request: IncomingMessage,
+  maxBytes: number,
+  onBody: (body: Buffer | undefined | "too long") => void,
+): void {
+  const hasBody =
+    request.headers["content-length"] !== undefined ||
+    request.headers["transfer-encoding"] !== undefined;
+  if (!hasBody) {
+    onBody(undefined);
+    return;
+  }
+  const chunks: Array<Buffer> = [];
+  let sizeBytes = 0;
+  request.on("data", (chunk: Buffer) => {
+    sizeBytes += chunk.length;
+    if (sizeBytes <= maxBytes) {
+      chunks.push(chunk);
+    }
+  });
+  request.on("end", () => onBody(sizeBytes > maxBytes ? "too long" : Buffer.concat(chunks)));
+}
+
+function writeAnswer(
+  response: ServerResponse,
+  { statusCode, headers, body }: CallerAnswer,
+  { isLeaving }: CallerServerOptions,
+): void {
+  if (response.destroyed || response.headersSent) {
+    return;
+  }
+  const connection = isLeaving() ? ["Connection", "close"] : [];
+  response.writeHead(statusCode, [
+    ...headers,
+    "Content-Length",
+    String(body.length),
+    ...connection,
+  ]);
+  response.end(body);
+}
--- /dev/null
+++ b/box/fleet_link.ts
@@ -0,0 +1,200 @@
+/**
+ * Keeps the membership table by datagrams between boxes: each box asks one other in turn, answers
+ * those who ask, and tells all at once when it is about to stop.
+ *
+ * @module
+ */
+import { createSocket, type Socket } from "node:dgram";
+import {
+  ageMembers,
+  aliveMembers,
+  hearMembers,
+  type Membership,
+  newMembership,
+  suspectMember,
+  takeRiders,
+} from "../membership/mod.js";
+import type { Member, MemberState } from "../model/mod.js";
+
+/** Time between two questions to other boxes, in milliseconds. */
+const ASK_EVERY_MS = 500;
+
+/** Time that an asked box has for its answer, in milliseconds; the far region is 25 ms away. */
+const ANSWER_MS = 300;
+
+/** Largest datagram taken, in bytes. */
+const MAX_DATAGRAM_BYTES = 16_384;
+
+/** How far a box is with what lasts in the store. */
+export interface Progress {
+  /** Version of the configuration in force; 0 before the first. */
+  readonly configurationVersion: number;
+  /** Revision of the store up to which it knows the leafs' entries; 0 before the first. */
+  readonly leafsRevision: number;
+}
+
+interface FleetMessage {
+  readonly kind: "ask" | "answer";
+  /** Number of the question, so that an answer can be told from a late one. */
+  readonly number: number;
+  readonly members: ReadonlyArray<Member>;
+  readonly progress: Progress;
+}
+
+/** What the link needs of its box. */
+export interface FleetLinkOptions {
+  readonly self: Member;
+  /** Where to ask before any other box is known. */
+  readonly seeds: ReadonlyArray<string>;
+  /** Port of the datagrams on every box. */
+  readonly port: number;
+  readonly nowMs: () => number;
+  readonly progress: () => Progress;
+  /** Told how far another box is. */
+  readonly onProgress: (member: Member, progress: Progress) => void;
+  /** Told when a member's state changes, as this box believes it. */
+  readonly onMember: (member: Member) => void;
+  readonly onFault: (message: string) => void;
+}
+
+/** The link to the other boxes. */
+export class FleetLink {
+  readonly #options: FleetLinkOptions;
+  readonly #socket: Socket;
+  #membership: Membership;
+  #number = 0;
+  #asked: { readonly number: number; readonly memberId: string } | undefined;
+  #timer: NodeJS.Timeout | undefined;
+
+  /**
+   * @param options - What the link needs of its box.
+   */
+  constructor(options: FleetLinkOptions) {
+    this.#options = options;
+    this.#membership = newMembership(options.self);
+    this.#socket = createSocket("udp4");
+  }
+
+  /** Opens the socket and begins to ask. */
+  async start(): Promise<void> {
+    const { port, self, onFault } = this.#options;
+    this.#socket.on("message", (data, { address }) => this.#receive(data, address));
+    this.#socket.on("error", (error) => onFault(error.message));
+    await new Promise<void>((resolve) => this.#socket.bind(port, self.address, resolve));
+    this.#timer = setInterval(() => this.#askNext(), ASK_EVERY_MS);
+    for (const seed of this.#options.seeds) {
+      this.#ask(seed);
+    }
+  }
+
+  /** Boxes that can be given work, this one included if it can. */
+  alive(): ReadonlyArray<Member> {
+    return aliveMembers(this.#membership, "entry");
+  }
+
+  /** All boxes heard of, this one included. */
+  members(): ReadonlyArray<Member> {
+    const others = [...this.#membership.records.values()].map(({ member }) => member);
+    return [this.#membership.self, ...others];
+  }
+
+  /**
+   * Changes this box's own state and tells all others at once.
+   *
+   * @param state - The new state.
+   */
+  declare(state: MemberState): void {
+    const { self, records } = this.#membership;
+    this.#membership = { self: { ...self, state, version: self.version + 1 }, records };
+    for (const { member } of records.values()) {
+      this.#ask(member.address);
+    }
+  }
+
+  /** Ends the link. */
+  stop(): void {
+    clearInterval(this.#timer);
+    this.#socket.close();
+  }
+
+  #askNext(): void {
+    const { nowMs, seeds } = this.#options;
+    const silent = this.#asked;
+    if (silent !== undefined) {
+      this.#membership = suspectMember(this.#membership, silent.memberId, { nowMs: nowMs() });
+      this.#asked = undefined;
+    }
+    this.#membership = ageMembers(this.#membership, { nowMs: nowMs() });
+    const candidates = [...this.#membership.records.values()]
+      .map(({ member }) => member)
+      .filter(({ state }) => state !== "dead");
+    const chosen = candidates[pick(candidates.length)];
+    if (chosen === undefined) {
+      seeds.forEach((seed) => this.#ask(seed));
+      return;
+    }
+    const number = this.#ask(chosen.address);
+    setTimeout(() => {
+      const late = this.#asked?.number === number ? this.#asked : undefined;
+      if (late !== undefined) {
+        this.#ask(chosen.address, { number: late.number });
+      }
+    }, ANSWER_MS);
+    this.#asked = { number, memberId: chosen.memberId };
+  }
+
+  #ask(address: string, { number }: { readonly number?: number } = {}): number {
+    if (number === undefined) {
+      this.#number += 1;
+    }
+    const asked = number ?? this.#number;
+    this.#send("ask", asked, address);
+    return asked;
+  }
+
+  #send(kind: FleetMessage["kind"], number: number, address: string): void {
+    const { membership, riders } = takeRiders(this.#membership, pick);
+    this.#membership = membership;
+    const members = [membership.self, ...riders];
+    const message: FleetMessage = { kind, number, members, progress: this.#options.progress() };
+    this.#socket.send(JSON.stringify(message), this.#options.port, address);
+  }
+
+  #receive(data: Buffer, address: string): void {
+    const message = decodeMessage(data);
+    if (message === undefined) {
+      this.#options.onFault(`Cannot read a datagram from "${address}"`);
+      return;
+    }
+    const { nowMs, onMember, onProgress } = this.#options;
+    const heard = hearMembers(this.#membership, message.members, { nowMs: nowMs() });
+    this.#membership = heard.membership;
+    heard.changed.forEach(onMember);
+    if (message.kind === "ask") {
+      this.#send("answer", message.number, address);
+    } else if (message.number === this.#asked?.number) {
+      this.#asked = undefined;
+    }
+    const sender = message.members[0];
+    if (sender !== undefined) {
+      onProgress(sender, message.progress);
+    }
+  }
+}
+
+function pick(count: number): number {
+  return Math.floor(Math.random() * count);
+}
+
+/** Boxes trust one another; only what is no message at all is turned away. */
+function decodeMessage(data: Buffer): FleetMessage | undefined {
+  if (data.length > MAX_DATAGRAM_BYTES) {
+    return undefined;
+  }
+  try {
+    const message = JSON.parse(data.toString("utf8")) as FleetMessage;
+    return Array.isArray(message.members) ? message : undefined;
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/box/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * The box daemon: one process a box that takes requests, asks leafs and answers.
+ *
+ * @module
+ */
+export * from "./box_shell.js";
+export * from "./box_telemetry.js";
--- /dev/null
+++ b/leafs/choose_leaf.ts
@@ -0,0 +1,95 @@
+/**
+ * Picks the leaf of a service that is expected to answer first, near ones preferred.
+ *
+ * @module
+ */
+import type { Leaf } from "./leaf.js";
+import { type LeafCondition, NEW_CONDITION } from "./leaf_condition.js";
+
+/** How far a leaf is from this box. */
+export type Distance = "zone" | "region" | "far";
+
+/** What the choice is made from. */
+export interface ChoiceView {
+  readonly nowMs: number;
+  /** Tells what this box has seen of a leaf. */
+  condition(leafId: string): LeafCondition | undefined;
+  /** Tells how far a leaf is. */
+  distance(leaf: Leaf): Distance;
+  /** Leafs that were asked already. */
+  readonly excluded: ReadonlySet<string>;
+}
+
+/**
+ * Added to the expected time by distance, in milliseconds. Far ones carry the price of bytes between
+ * regions besides the round trip: in a trial the near replica had to be some 100 ms slower before the
+ * far one was worth its bytes.
+ */
+const DISTANCE_COST_MS: Readonly<Record<Distance, number>> = { zone: 0, region: 4, far: 100 };
+
+/** Expected time of a leaf that has not been asked, in milliseconds. */
+const UNKNOWN_MS = 15;
+
+/** Age at which a load that a leaf told counts for nothing, in milliseconds. */
+const TOLD_LOAD_MS = 300;
+
+/** A leaf is taken to pause when a call is open for this many times its mean, and at least the time below. */
+const SILENT_MEANS = 3;
+
+/** Shortest time without an answer at which a leaf is taken to pause, in milliseconds. */
+const SILENT_MS = 40;
+
+/** Added for a leaf that is taken to pause; leafs pause for 150 to 250 ms, in milliseconds. */
+const SILENT_COST_MS = 200;
+
+/** Added for a leaf that has just failed or shed, in milliseconds. */
+const AVOID_COST_MS = 1_000;
+
+/** Factor on the time of a leaf that is still warming up. */
+const WARMUP_FACTOR = 1.6;
+
+/**
+ * Picks a leaf.
+ *
+ * @param leafs - Leafs of the service.
+ * @param view - What is known of them.
+ * @returns The leaf, or nothing where none can be asked.
+ */
+export function chooseLeaf(leafs: ReadonlyArray<Leaf>, view: ChoiceView): Leaf | undefined {
+  let best: Leaf | undefined;
+  let bestMs = Infinity;
+  for (const leaf of leafs) {
+    const condition = view.condition(leaf.leafId) ?? NEW_CONDITION;
+    if (leaf.draining || condition.gone || view.excluded.has(leaf.leafId)) {
+      continue;
+    }
+    const expectedMs = expectedTimeMs(leaf, condition, view);
+    if (expectedMs < bestMs) {
+      best = leaf;
+      bestMs = expectedMs;
+    }
+  }
+  return best;
+}
+
+function expectedTimeMs(leaf: Leaf, condition: LeafCondition, view: ChoiceView): number {
+  const { nowMs } = view;
+  const meanMs = condition.meanMs === 0 ? UNKNOWN_MS : condition.meanMs;
+  const warmMs = leaf.warmupLeftMs > 0 ? meanMs * WARMUP_FACTOR : meanMs;
+  const toldShare = Math.max(0, 1 - (nowMs - condition.toldAtMs) / TOLD_LOAD_MS);
+  const load = Math.max(condition.openCalls.size, condition.toldLoad * toldShare);
+  const queuedMs = warmMs * Math.max(1, (load + 1) / leaf.slots);
+  const silentMs = isSilent(condition, nowMs) ? SILENT_COST_MS : 0;
+  const avoidMs = condition.avoidUntilMs > nowMs ? AVOID_COST_MS : 0;
+  return queuedMs + DISTANCE_COST_MS[view.distance(leaf)] + silentMs + avoidMs;
+}
+
+function isSilent(condition: LeafCondition, nowMs: number): boolean {
+  const silentAfterMs = Math.max(SILENT_MS, SILENT_MEANS * condition.meanMs);
+  for (const sentAtMs of condition.openCalls.values()) {
+    if (nowMs - sentAtMs > silentAfterMs) {
+      return true;
+    }
+  }
+  return false;
+}
--- /dev/null
+++ b/leafs/leaf_table.ts
@@ -0,0 +1,111 @@
+/**
+ * The leafs that a box believes in, by id and by service.
+ *
+ * @module
+ */
+import type { Leaf } from "./leaf.js";
+
+/** Leafs known, arranged for look-ups. */
+export interface LeafTable {
+  readonly byId: ReadonlyMap<string, Leaf>;
+  readonly byService: ReadonlyMap<string, ReadonlyArray<Leaf>>;
+  /** Leafs whose entry is gone but may come back, and the moment at which they are dropped. */
+  readonly dropAtMs: ReadonlyMap<string, number>;
+}
+
+/** A table without leafs. */
+export const NO_LEAFS: LeafTable = { byId: new Map(), byService: new Map(), dropAtMs: new Map() };
+
+/** What has changed among the leafs' entries. */
+export interface LeafChanges {
+  /** Entries that are new or differ from before. */
+  readonly changed: ReadonlyArray<Leaf>;
+  /** Ids of entries that are gone. */
+  readonly removed: ReadonlyArray<string>;
+}
+
+/** How long entries that are gone are still believed in. */
+export interface RemovalOptions {
+  readonly nowMs: number;
+  /** Time that an entry has to come back, in milliseconds; 0 drops it at once. */
+  readonly graceMs: number;
+}
+
+/**
+ * Takes in changes of entries.
+ *
+ * @param table - Leafs known so far.
+ * @param changes - What has changed.
+ * @param options - The present moment, and how long a missing entry may come back.
+ * @returns The table after that.
+ */
+export function applyLeafChanges(
+  table: LeafTable,
+  { changed, removed }: LeafChanges,
+  { nowMs, graceMs }: RemovalOptions,
+): LeafTable {
+  const byId = new Map(table.byId);
+  const dropAtMs = new Map(table.dropAtMs);
+  for (const leaf of changed) {
+    byId.set(leaf.leafId, leaf);
+    dropAtMs.delete(leaf.leafId);
+  }
+  for (const leafId of removed) {
+    if (graceMs > 0 && byId.get(leafId)?.draining === false) {
+      dropAtMs.set(leafId, Math.min(dropAtMs.get(leafId) ?? Infinity, nowMs + graceMs));
+    } else {
+      byId.delete(leafId);
+      dropAtMs.delete(leafId);
+    }
+  }
+  return { byId, byService: groupByService(byId), dropAtMs };
+}
+
+/**
+ * Takes in a whole list of entries: what it lacks is gone.
+ *
+ * @param table - Leafs known so far.
+ * @param listed - All entries.
+ * @param options - The present moment, and how long a missing entry may come back.
+ * @returns The table after that.
+ */
+export function applyLeafList(
+  table: LeafTable,
+  listed: ReadonlyArray<Leaf>,
+  options: RemovalOptions,
+): LeafTable {
+  const ids = new Set(listed.map((leaf) => leaf.leafId));
+  const removed = [...table.byId.keys()].filter((leafId) => !ids.has(leafId));
+  return applyLeafChanges(table, { changed: listed, removed }, options);
+}
+
+/**
+ * Drops the leafs whose time to come back is up.
+ *
+ * @param table - Leafs known so far.
+ * @param options - The present moment.
+ * @returns The table after that; the same object where nothing was due.
+ */
+export function dropOverdueLeafs(
+  table: LeafTable,
+  { nowMs }: { readonly nowMs: number },
+): LeafTable {
+  const due = [...table.dropAtMs].filter(([, atMs]) => atMs <= nowMs).map(([leafId]) => leafId);
+  if (due.length === 0) {
+    return table;
+  }
+  return applyLeafChanges(table, { changed: [], removed: due }, { nowMs, graceMs: 0 });
+}
+
+function groupByService(byId: ReadonlyMap<string, Leaf>): ReadonlyMap<string, ReadonlyArray<Leaf>> {
+  const groups = new Map<string, Array<Leaf>>();
+  for (const leaf of byId.values()) {
+    const group = groups.get(leaf.service);
+    if (group === undefined) {
+      groups.set(leaf.service, [leaf]);
+    } else {
+      group.push(leaf);
+    }
+  }
+  return groups;
+}
--- /dev/null
+++ b/leafs/mod.ts
@@ -0,0 +1,9 @@
+/**
+ * Leafs: which ones a box believes in, how they behave, and which is asked next.
+ *
+ * @module
+ */
+export * from "./choose_leaf.js";
+export * from "./leaf.js";
+export * from "./leaf_condition.js";
+export * from "./leaf_table.js";
--- a/limits/extra_load.ts
+++ b/limits/extra_load.ts
@@ -16,9 +16,16 @@
 /** Extra calls that a budget starts with and holds at most. */
 export const EXTRA_LOAD_BURST = 20;
 
-const HEDGE_FLOOR = 8;
+/** Share of the most that a budget holds which each kind of call must leave over. */
+const FLOOR_SHARES: Readonly<Record<ExtraCallKind, number>> = { hedge: 0.4, retry: 0 };
 
-const FLOORS: Readonly<Record<ExtraCallKind, number>> = { hedge: HEDGE_FLOOR, retry: 0 };
+/** How fast a budget grows, and how far. */
+export interface ExtraLoadTerms {
+  /** Extra calls that each first call adds. */
+  readonly extraLoadShare: number;
+  /** Most extra calls that the budget holds. */
+  readonly burstCalls?: number;
+}
 
 /** A budget nothing was spent from. */
 export const FULL_BUDGET: ExtraLoadBudget = { tokens: EXTRA_LOAD_BURST };
@@ -28,15 +35,15 @@
  *
  * @param budget - Budget so far.
  * @param calls - First calls made.
- * @param options - The service's share of extra calls.
+ * @param options - The service's share of extra calls, and the most that the budget holds.
  * @returns The budget after that.
  */
 export function creditFirstCalls(
   budget: ExtraLoadBudget,
   calls: number,
-  { extraLoadShare }: { readonly extraLoadShare: number },
+  { extraLoadShare, burstCalls = EXTRA_LOAD_BURST }: ExtraLoadTerms,
 ): ExtraLoadBudget {
-  return { tokens: Math.min(EXTRA_LOAD_BURST, budget.tokens + calls * extraLoadShare) };
+  return { tokens: Math.min(burstCalls, budget.tokens + calls * extraLoadShare) };
 }
 
 /**
@@ -44,12 +51,14 @@
  *
  * @param budget - Budget so far.
  * @param kind - What the call is for.
+ * @param options - Most extra calls that the budget holds; by default as many as at its start.
  * @returns The budget after that, or nothing when it does not allow the call.
  */
 export function takeExtraCall(
   budget: ExtraLoadBudget,
   kind: ExtraCallKind,
+  { burstCalls = EXTRA_LOAD_BURST }: Pick<ExtraLoadTerms, "burstCalls"> = {},
 ): ExtraLoadBudget | undefined {
   const left = budget.tokens - 1;
-  return left >= FLOORS[kind] ? { tokens: left } : undefined;
+  return left >= FLOOR_SHARES[kind] * burstCalls ? { tokens: left } : undefined;
 }
--- /dev/null
+++ b/request/_judge.ts
@@ -0,0 +1,98 @@
+/**
+ * Judges whether a request can be answered, and with what.
+ *
+ * @module
+ */
+import { type Step, step } from "../core/mod.js";
+import type { GatherTarget } from "../routing/mod.js";
+import { mergeRecords } from "./record_merge.js";
+import type { Reply, RequestEffect, RequestState } from "./request_state.js";
+
+/** When a request that could not be offered to a leaf may be asked again, in milliseconds. */
+const NO_LEAF_RETRY_MS = 250;
+
+type JudgedStep = Step<RequestState, RequestEffect>;
+
+/**
+ * Answers a request if nothing better is to come: all shards are settled, or the aim has passed and
+ * the least share is in.
+ *
+ * @param state - The request so far.
+ * @returns The request, with its reply where there is one.
+ */
+export function judgeRequest(state: RequestState): JudgedStep {
+  const settled = state.partsIn + state.partsLost === state.shards.length;
+  const { target } = state.terms.route;
+  const suffices = target.kind === "gather" && state.pastAim && hasLeastShare(state, target);
+  const hopeless = target.kind === "gather" && !canReachLeastShare(state, target);
+  return settled || suffices || hopeless ? finish(state, finalReply(state)) : step(state);
+}
+
+/**
+ * Answers a request whose time is up with what is in.
+ *
+ * @param state - The request so far.
+ * @returns The request with its reply.
+ */
+export function judgeAtDeadline(state: RequestState): JudgedStep {
+  return finish(state, finalReply(state, { timeIsUp: true }));
+}
+
+/** Calls still open are let run: they end soon, and breaking one off costs its connection. */
+function finish(state: RequestState, reply: Reply): JudgedStep {
+  return step({ ...state, done: true }, { kind: "reply", reply });
+}
+
+function finalReply(
+  state: RequestState,
+  { timeIsUp = false }: { readonly timeIsUp?: boolean } = {},
+): Reply {
+  const { target } = state.terms.route;
+  if (target.kind === "gather") {
+    return hasLeastShare(state, target) ? mergedReply(state, target) : unanswered(state, timeIsUp);
+  }
+  const shard = state.shards[0];
+  const answer = shard?.part ?? shard?.failure;
+  return answer === undefined ? unanswered(state, timeIsUp) : passedReply(answer);
+}
+
+function passedReply(answer: NonNullable<RequestState["shards"][number]["part"]>): Reply {
+  const isSuccess = answer.statusCode >= 200 && answer.statusCode < 300;
+  return isSuccess && answer.signature === ""
+    ? { kind: "failed", reason: "leafs failed" }
+    : { kind: "passed", answer };
+}
+
+function mergedReply(state: RequestState, target: GatherTarget): Reply {
+  const parts = state.shards.flatMap(({ part }) => (part === undefined ? [] : [part]));
+  return {
+    kind: "merged",
+    records: mergeRecords(
+      parts.map(({ body }) => body),
+      { topRecords: target.topRecords },
+    ),
+    signatures: parts.map(({ signature }) => signature),
+    missingParts: state.shards.length - parts.length,
+  };
+}
+
+function unanswered(state: RequestState, timeIsUp: boolean): Reply {
+  const mayHaveRun = state.shards.some(({ runs }) => runs > 0);
+  if (!mayHaveRun) {
+    return { kind: "notRun", reason: "no leaf can be asked", retryAfterMs: NO_LEAF_RETRY_MS };
+  }
+  return { kind: "failed", reason: timeIsUp ? "deadline" : "leafs failed" };
+}
+
+function hasLeastShare(state: RequestState, target: GatherTarget): boolean {
+  return state.partsIn > 0 && state.partsIn >= leastParts(state, target);
+}
+
+function canReachLeastShare(state: RequestState, target: GatherTarget): boolean {
+  return state.shards.length - state.partsLost >= Math.max(1, leastParts(state, target));
+}
+
+/** A hair less than the product, so that 0.89 of 100 parts is 89 whatever the rounding. */
+function leastParts(state: RequestState, target: GatherTarget): number {
+  return Math.ceil(target.leastShare * state.shards.length - 1e-9);
+}
--- /dev/null
+++ b/request/request_state.ts
@@ -0,0 +1,141 @@
+/**
+ * One caller's request while it is being answered.
+ *
+ * @module
+ */
+import type { ExtraCallKind } from "../limits/mod.js";
+import type { Route } from "../routing/mod.js";
+
+/** What a leaf answered, whole. */
+export interface LeafAnswer {
+  readonly statusCode: number;
+  /** Headers that are passed on, names and values by turns. */
+  readonly headers: ReadonlyArray<string>;
+  /** Signature by which the leaf stands for the answer; empty where it gave none. */
+  readonly signature: string;
+  readonly body: Buffer;
+}
+
+/** Answers of several shards that another box has merged. */
+export interface MergedParts {
+  /** Signatures of the parts that are in, by shard. */
+  readonly signatures: ReadonlyMap<string, string>;
+  /** The greatest records of those parts. */
+  readonly records: Buffer;
+}
+
+/** How an attempt at a leaf ended. */
+export type AttemptOutcome =
+  /** The leaf answered, with success or with a failure of its own. */
+  | { readonly kind: "answered"; readonly answer: LeafAnswer }
+  /** The leaf did not run the request and said so. */
+  | { readonly kind: "refused"; readonly reason: "full" | "gone" }
+  /** There was no whole answer. */
+  | {
+      readonly kind: "failed";
+      /** Whether any byte may have reached the leaf. */
+      readonly sent: boolean;
+      readonly reason: string;
+    };
+
+/** One try to get a shard's part from a leaf. */
+export interface Attempt {
+  readonly attemptId: number;
+  readonly leafId: string;
+  readonly startedAtMs: number;
+}
+
+/** One shard of a request; a request to a single leaf has one. */
+export interface ShardState {
+  readonly service: string;
+  /** Leafs asked so far; none is asked twice. */
+  readonly asked: ReadonlySet<string>;
+  /** Attempts that may have run, those under way included. */
+  readonly runs: number;
+  readonly open: ReadonlyArray<Attempt>;
+  readonly part: LeafAnswer | undefined;
+  /** A leaf's own failure, kept in case there is nothing better. */
+  readonly failure: LeafAnswer | undefined;
+  /** Whether nothing more can be got for it. */
+  readonly lost: boolean;
+}
+
+/** A request as its caller sent it, as far as deciding goes. */
+export interface RequestTerms {
+  /** Id that the caller gave the attempt. */
+  readonly requestId: string;
+  readonly route: Route;
+  readonly arrivedAtMs: number;
+  /** Moment at which the final answer is due: the caller's deadline or the route's timeout. */
+  readonly deadlineAtMs: number;
+  /** Moment by which the answer is worth most. */
+  readonly aimAtMs: number;
+  /** Attempts for each shard, as policy and route allow. */
+  readonly maxAttempts: number;
+}
+
+/** Everything known of a request. */
+export interface RequestState {
+  readonly terms: RequestTerms;
+  readonly shards: ReadonlyArray<ShardState>;
+  readonly partsIn: number;
+  readonly partsLost: number;
+  readonly nextAttemptId: number;
+  /** Whether the aim has passed, so that the least share suffices. */
+  readonly pastAim: boolean;
+  readonly done: boolean;
+}
+
+/** What the caller gets. */
+export type Reply =
+  /** A leaf's answer, unchanged. */
+  | { readonly kind: "passed"; readonly answer: LeafAnswer }
+  /** The merged records of the parts that are in. */
+  | {
+      readonly kind: "merged";
+      readonly records: Buffer;
+      readonly signatures: ReadonlyArray<string>;
+      readonly missingParts: number;
+    }
+  /** The configuration in force has no route for it. */
+  | { readonly kind: "noRoute" }
+  /** The request has not run and never will. */
+  | { readonly kind: "notRun"; readonly reason: string; readonly retryAfterMs: number }
+  /** It may have run and there is no answer. */
+  | { readonly kind: "failed"; readonly reason: "deadline" | "leafs failed" };
+
+/** What is to be done for a request. */
+export type RequestEffect =
+  | {
+      readonly kind: "call";
+      readonly attemptId: number;
+      readonly shardIndex: number;
+      readonly leafId: string;
+      readonly deadlineAtMs: number;
+    }
+  | { readonly kind: "abandon"; readonly attemptId: number }
+  | { readonly kind: "wake"; readonly timer: RequestTimer; readonly atMs: number }
+  | { readonly kind: "reply"; readonly reply: Reply };
+
+/** Moments at which a request is looked at again. */
+export type RequestTimer = "hedge" | "aim" | "deadline";
+
+/** What happens to a request. */
+export type RequestEvent =
+  | { readonly kind: "started" }
+  | {
+      readonly kind: "attemptEnded";
+      readonly attemptId: number;
+      readonly outcome: AttemptOutcome;
+    }
+  | { readonly kind: "timer"; readonly timer: RequestTimer }
+  | { readonly kind: "callerGone" };
+
+/** What a request may ask of its box while deciding. */
+export interface RequestWorld {
+  readonly nowMs: number;
+  /** Picks the leaf to ask next, or nothing where there is none but those excluded. */
+  chooseLeaf(service: string, excluded: ReadonlySet<string>): string | undefined;
+  /** Takes a call beyond the first out of the service's budget, if that allows it. */
+  takeExtraCall(service: string, kind: ExtraCallKind): boolean;
+}
--- /dev/null
+++ b/routing/configuration.ts
@@ -0,0 +1,79 @@
+/**
+ * Routes and services as a box uses them: which requests go to which services, and under what terms.
+ *
+ * @module
+ */
+
+/** One service among which a route's requests are shared. */
+export interface WeightedService {
+  readonly service: string;
+  /** Share of the requests, relative to the other weights of the route. */
+  readonly weight: number;
+}
+
+/** A route whose requests each go to one leaf, whose answer is passed on whole. */
+export interface SingleTarget {
+  readonly kind: "single";
+  /** At least one; a plain route has one service of weight 1. */
+  readonly services: ReadonlyArray<WeightedService>;
+}
+
+/** A route whose requests go to one leaf of each shard and are merged. */
+export interface GatherTarget {
+  readonly kind: "gather";
+  /** Services that are the shards. */
+  readonly shards: ReadonlyArray<string>;
+  /** Most records in the merged answer. */
+  readonly topRecords: number;
+  /** Share of the shards, 0 to 1, without which there is no success. */
+  readonly leastShare: number;
+}
+
+/** Where a route's requests go. */
+export type RouteTarget = SingleTarget | GatherTarget;
+
+/** Requests of one host under one path prefix, and the terms that hold for them. */
+export interface Route {
+  readonly name: string;
+  readonly host: string;
+  /** Begins and ends with a slash. */
+  readonly pathPrefix: string;
+  /** Whether running a request twice is harmless. */
+  readonly repeatable: boolean;
+  /** Longest time that a request is held, in milliseconds. */
+  readonly timeoutMs: number;
+  /** Time within which an answer is worth most, in milliseconds. */
+  readonly aimMs: number;
+  /** Urgency; 0 is the most urgent. */
+  readonly priorityRank: number;
+  /** Most leafs that one request is sent to, for each shard. */
+  readonly maxAttempts: number;
+  readonly target: RouteTarget;
+}
+
+/** What holds for the leafs of one service. */
+export interface ServiceTerms {
+  readonly service: string;
+  /** Connections that a leaf takes from all boxes together. */
+  readonly maxConnections: number;
+  readonly healthPath: string;
+}
+
+/** Bounds on what callers send. */
+export interface CallerLimits {
+  readonly maxHeaderBytes: number;
+  readonly maxBodyBytes: number;
+  /** Time for the headers of a request, in milliseconds. */
+  readonly headerTimeoutMs: number;
+  /** Time that a connection may rest, in milliseconds. */
+  readonly idleTimeoutMs: number;
+}
+
+/** Everything that operators configure, as of one version. */
+export interface Configuration {
+  /** Rises with each change, not always by one. */
+  readonly version: number;
+  readonly routes: ReadonlyArray<Route>;
+  readonly services: ReadonlyArray<ServiceTerms>;
+  readonly callerLimits: CallerLimits;
+}
--- /dev/null
+++ b/routing/route_table.ts
@@ -0,0 +1,53 @@
+/**
+ * Finds the route of a request.
+ *
+ * @module
+ */
+import type { Configuration, Route, ServiceTerms } from "./configuration.js";
+
+/** A configuration arranged for look-ups. */
+export interface RouteTable {
+  readonly configuration: Configuration;
+  /** Routes of each host, longest prefix first. */
+  readonly routesByHost: ReadonlyMap<string, ReadonlyArray<Route>>;
+  readonly termsByService: ReadonlyMap<string, ServiceTerms>;
+}
+
+/**
+ * Arranges a configuration for look-ups.
+ *
+ * @param configuration - What operators configured.
+ * @returns The table.
+ */
+export function routeTable(configuration: Configuration): RouteTable {
+  const routesByHost = new Map<string, Array<Route>>();
+  for (const route of configuration.routes) {
+    const host = route.host.toLowerCase();
+    routesByHost.set(host, [...(routesByHost.get(host) ?? []), route]);
+  }
+  for (const routes of routesByHost.values()) {
+    routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
+  }
+  const termsByService = new Map(configuration.services.map((terms) => [terms.service, terms]));
+  return { configuration, routesByHost, termsByService };
+}
+
+/** What of a request decides its route. */
+export interface RouteKey {
+  /** Host as the caller named it, with or without a port. */
+  readonly host: string;
+  /** Path, with or without a query. */
+  readonly path: string;
+}
+
+/**
+ * Finds the route with the longest prefix among those of the host.
+ *
+ * @param table - The configuration in force.
+ * @param key - Host and path of the request.
+ * @returns The route, or nothing where the configuration has none.
+ */
+export function findRoute(table: RouteTable, { host, path }: RouteKey): Route | undefined {
+  const name = host.replace(/:\d+$/, "").toLowerCase();
+  return table.routesByHost.get(name)?.find((route) => path.startsWith(route.pathPrefix));
+}
--- /dev/null
+++ b/routing/split_service.ts
@@ -0,0 +1,38 @@
+/**
+ * Shares a route's requests among its services in proportion to their weights.
+ *
+ * @module
+ */
+import type { WeightedService } from "./configuration.js";
+
+/** How far each service of a route is ahead of or behind its due share. */
+export type SplitCredits = ReadonlyMap<string, number>;
+
+/** A choice and the credits after it. */
+export interface SplitChoice {
+  readonly service: string;
+  readonly credits: SplitCredits;
+}
+
+/**
+ * Picks the service of the next request by smooth weighted round robin, so that any run of requests
+ * is close to the weights.
+ *
+ * @param services - Services of the route; at least one.
+ * @param credits - Credits after the last choice; empty at first.
+ * @returns The service and the new credits.
+ */
+export function splitService(
+  services: ReadonlyArray<WeightedService>,
+  credits: SplitCredits,
+): SplitChoice {
+  const totalWeight = services.reduce((sum, { weight }) => sum + weight, 0);
+  const raised = services.map(({ service, weight }) => {
+    return { service, credit: (credits.get(service) ?? 0) + weight };
+  });
+  const best = raised.reduce((a, b) => (b.credit > a.credit ? b : a));
+  const next = raised.map(({ service, credit }) => {
+    return [service, service === best.service ? credit - totalWeight : credit] as const;
+  });
+  return { service: best.service, credits: new Map(next) };
+}
