Send calls only on connections that are up, with the time really left

Ruled out: the deadline's arithmetic (calls sent at once were right). Change: each leaf has a line of calls and connections opened beforehand; the time left is worked out as a call is written. A call never sent costs no budget.

--- a/box/box_telemetry.ts
+++ b/box/box_telemetry.ts
@@ -128,6 +128,13 @@
     }),
     linesDropped,
     metricsText: () => registry.metrics(),
-    flush: () => sink.flushSync(),
+    flush: () => {
+      try {
+        sink.flushSync();
+      } catch {
+        // The reader of the log has gone; there is nobody left to tell.
+        linesDropped.inc();
+      }
+    },
   };
 }
--- a/box/fleet_link.ts
+++ b/box/fleet_link.ts
@@ -130,7 +130,9 @@
       .filter(({ state }) => state !== "dead");
     const chosen = candidates[pick(candidates.length)];
     if (chosen === undefined) {
-      seeds.forEach((seed) => this.#ask(seed));
+      for (const seed of seeds) {
+        this.#ask(seed);
+      }
       return;
     }
     const number = this.#ask(chosen.address);
--- a/box/leaf_calls.ts
+++ b/box/leaf_calls.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { type Dispatcher, Pool } from "undici";
+import type { Dispatcher } from "undici";
 import {
   type CallEnd,
   type Leaf,
@@ -20,6 +20,7 @@
   type LeafHeaders,
 } from "../platform/mod.js";
 import type { AttemptOutcome } from "../request/mod.js";
+import { LeafLine, type WaitingCall } from "./leaf_line.js";
 
 /** A call to be made. */
 export interface LeafCall {
@@ -47,9 +48,6 @@
   readonly connectionsTo: (service: string) => number;
 }
 
-/** Time that a new connection has to come up, in milliseconds. */
-const CONNECT_MS = 1_000;
-
 /** Time after its deadline at which a call is broken off, in milliseconds. */
 const OVERDUE_MS = 100;
 
@@ -61,7 +59,7 @@
 /** Connections to all leafs, and what was seen of them. */
 export class LeafCalls {
   readonly #options: LeafCallsOptions;
-  readonly #pools = new Map<string, Pool>();
+  readonly #lines = new Map<string, LeafLine>();
   readonly #conditions = new Map<string, LeafCondition>();
   readonly #open = new Map<number, OpenEntry>();
   #nextCallId = 1;
@@ -101,7 +99,7 @@
     const { leafId } = call.leaf;
     const nowMs = this.#options.nowMs();
     this.#conditions.set(leafId, noteSent(this.#conditionOf(leafId), { callId, nowMs }));
-    const handler = new AnswerReader(call.requestId, ({ outcome, toldLoad }) => {
+    const handler = new AnswerReader(call, this.#options.nowMs, ({ outcome, toldLoad }) => {
       this.#open.delete(callId);
       const end: CallEnd = {
         callId,
@@ -112,24 +110,10 @@
       this.#conditions.set(leafId, noteEnded(this.#conditionOf(leafId), end));
       onEnd(outcome);
     });
-    this.#open.set(callId, {
-      deadlineAtMs: call.deadlineAtMs,
-      abandon: () => handler.abandon(),
-    });
-    const leftMs = Math.max(1, Math.floor(call.deadlineAtMs - nowMs));
-    this.#poolOf(call.leaf).dispatch(
-      {
-        method: call.method as Dispatcher.HttpMethod,
-        path: call.path,
-        headers: encodeLeafHeaders(call.headers, { leafId, leftMs }),
-        body: call.body ?? null,
-        idempotent: false,
-        headersTimeout: 0,
-        bodyTimeout: 0,
-      },
-      handler,
-    );
-    return { abandon: () => handler.abandon() };
+    const abandon = (): void => handler.abandon();
+    this.#open.set(callId, { deadlineAtMs: call.deadlineAtMs, abandon });
+    this.#lineTo(call.leaf).send(handler);
+    return { abandon };
   }
 
   /** Breaks off the calls whose deadline has passed. */
@@ -148,11 +132,11 @@
    * @param isKnown - Tells whether a leaf is still known.
    */
   forgetUnknown(isKnown: (leafId: string) => boolean): void {
-    for (const [leafId, pool] of this.#pools) {
+    for (const [leafId, line] of this.#lines) {
       if (!isKnown(leafId)) {
-        this.#pools.delete(leafId);
+        this.#lines.delete(leafId);
         this.#conditions.delete(leafId);
-        void pool.close();
+        line.close();
       }
     }
   }
@@ -161,20 +145,14 @@
     return this.#conditions.get(leafId) ?? NEW_CONDITION;
   }
 
-  #poolOf({ leafId, service, address, port }: Leaf): Pool {
-    const held = this.#pools.get(leafId);
+  #lineTo({ leafId, service, address, port }: Leaf): LeafLine {
+    const held = this.#lines.get(leafId);
     if (held !== undefined) {
       return held;
     }
-    const pool = new Pool(`http://${address}:${port}`, {
-      connections: this.#options.connectionsTo(service),
-      pipelining: 1,
-      connect: { timeout: CONNECT_MS },
-      // Leafs say how long they keep a connection; without a word they keep it for longer than this.
-      keepAliveTimeout: 4_000,
-    });
-    this.#pools.set(leafId, pool);
-    return pool;
+    const line = new LeafLine({ address, port }, () => this.#options.connectionsTo(service));
+    this.#lines.set(leafId, line);
+    return line;
   }
 }
 
@@ -201,8 +179,9 @@
 }
 
 /** Reads one answer whole; anything else ends the call and its connection. */
-class AnswerReader implements Dispatcher.DispatchHandler {
-  readonly #requestId: string;
+class AnswerReader implements WaitingCall {
+  readonly #call: LeafCall;
+  readonly #nowMs: () => number;
   readonly #onEnd: (ended: EndedCall) => void;
   #controller: Dispatcher.DispatchController | undefined;
   #sent = false;
@@ -211,11 +190,34 @@
   #headers: LeafHeaders = {};
   readonly #chunks: Array<Buffer> = [];
 
-  constructor(requestId: string, onEnd: (ended: EndedCall) => void) {
-    this.#requestId = requestId;
+  constructor(call: LeafCall, nowMs: () => number, onEnd: (ended: EndedCall) => void) {
+    this.#call = call;
+    this.#nowMs = nowMs;
     this.#onEnd = onEnd;
   }
 
+  get isEnded(): boolean {
+    return this.#ended;
+  }
+
+  options(): Dispatcher.DispatchOptions {
+    const { leaf, method, path, headers, body, deadlineAtMs } = this.#call;
+    const leftMs = Math.max(1, Math.floor(deadlineAtMs - this.#nowMs()));
+    return {
+      method: method as Dispatcher.HttpMethod,
+      path,
+      headers: encodeLeafHeaders(headers, { leafId: leaf.leafId, leftMs }),
+      body: body ?? null,
+      idempotent: false,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+    };
+  }
+
+  onNoConnection(): void {
+    this.#fail("no connection");
+  }
+
   abandon(): void {
     this.#fail(ABANDONED);
     this.#controller?.abort(new Error(ABANDONED));
@@ -238,7 +240,7 @@
     if (statusCode < 200) {
       return;
     }
-    if (!isAnswerTo(headers, this.#requestId)) {
+    if (!isAnswerTo(headers, this.#call.requestId)) {
       this.#fail("answer to another request");
       controller.abort(new Error("answer to another request"));
       return;
--- /dev/null
+++ b/box/leaf_line.ts
@@ -0,0 +1,182 @@
+/**
+ * The calls to one leaf: those that wait for a connection, and the connections.
+ *
+ * @module
+ */
+import type { Dispatcher } from "undici";
+import type { SocketAddress } from "../platform/mod.js";
+import { LeafConnection } from "./leaf_connection.js";
+
+/** A call that is handed to a connection when one is free. */
+export interface WaitingCall extends Dispatcher.DispatchHandler {
+  /** Whether it is of no more use and is to be passed over. */
+  readonly isEnded: boolean;
+  /** Makes the request, with the time that is left at this moment. */
+  options(): Dispatcher.DispatchOptions;
+  /** Told when no connection could be opened for it: nothing was sent. */
+  onNoConnection(): void;
+}
+
+/** Calls and connections of one leaf. */
+export class LeafLine {
+  readonly #where: SocketAddress;
+  readonly #mostConnections: () => number;
+  readonly #connections = new Set<LeafConnection>();
+  #waiting: Array<WaitingCall> = [];
+  #opening = 0;
+  #closing = false;
+
+  /**
+   * @param where - Address and port of the leaf.
+   * @param mostConnections - Tells how many connections this box may have to it.
+   */
+  constructor(where: SocketAddress, mostConnections: () => number) {
+    this.#where = where;
+    this.#mostConnections = mostConnections;
+  }
+
+  /**
+   * Sends a call on a free connection, or as soon as there is one.
+   *
+   * @param call - The call.
+   */
+  send(call: WaitingCall): void {
+    this.#waiting.push(call);
+    this.#serve();
+  }
+
+  /**
+   * Says that a call has ended, so that its connection can carry the next.
+   *
+   * @param connection - The connection that carried it.
+   */
+  release(connection: LeafConnection): void {
+    connection.release();
+    this.#serve();
+  }
+
+  /** Closes the connections as soon as their calls have ended; no more calls are taken. */
+  close(): void {
+    this.#closing = true;
+    this.#closeFree();
+  }
+
+  #serve(): void {
+    this.#waiting = this.#waiting.filter((call) => !call.isEnded);
+    for (const connection of this.#connections) {
+      if (this.#waiting.length === 0) {
+        break;
+      }
+      if (connection.isFree) {
+        const call = this.#waiting.shift();
+        if (call !== undefined) {
+          this.#sendOn(connection, call);
+        }
+      }
+    }
+    this.#openMore();
+    if (this.#closing) {
+      this.#closeFree();
+    }
+  }
+
+  #sendOn(connection: LeafConnection, call: WaitingCall): void {
+    connection.send(call.options(), new ReleasingHandler(call, () => this.release(connection)));
+  }
+
+  #openMore(): void {
+    while (
+      this.#opening < this.#waiting.length &&
+      this.#connections.size < this.#mostConnections()
+    ) {
+      this.#open();
+    }
+  }
+
+  #open(): void {
+    let isOpen = false;
+    this.#opening += 1;
+    const opened = (): void => {
+      if (!isOpen) {
+        isOpen = true;
+        this.#opening -= 1;
+      }
+    };
+    const connection = new LeafConnection(this.#where, {
+      onOpen: () => {
+        opened();
+        this.#serve();
+      },
+      onClose: (closed) => {
+        this.#connections.delete(closed);
+        if (!isOpen) {
+          opened();
+          this.#failWaiting();
+        }
+        this.#serve();
+      },
+    });
+    this.#connections.add(connection);
+  }
+
+  /** Where no connection comes up and none is there, waiting on would only cost the callers time. */
+  #failWaiting(): void {
+    if ([...this.#connections].some((connection) => connection.isOpen)) {
+      return;
+    }
+    const failed = this.#waiting;
+    this.#waiting = [];
+    for (const call of failed) {
+      call.onNoConnection();
+    }
+  }
+
+  #closeFree(): void {
+    for (const connection of this.#connections) {
+      if (connection.isFree) {
+        connection.close();
+      }
+    }
+  }
+}
+
+/** Hands an answer on, and the connection back once the answer has ended. */
+class ReleasingHandler implements Dispatcher.DispatchHandler {
+  readonly #call: WaitingCall;
+  readonly #release: () => void;
+
+  constructor(call: WaitingCall, release: () => void) {
+    this.#call = call;
+    this.#release = release;
+  }
+
+  onRequestStart(controller: Dispatcher.DispatchController, context: unknown): void {
+    this.#call.onRequestStart?.(controller, context);
+  }
+
+  onResponseStart(
+    controller: Dispatcher.DispatchController,
+    statusCode: number,
+    headers: Parameters<NonNullable<WaitingCall["onResponseStart"]>>[2],
+  ): void {
+    this.#call.onResponseStart?.(controller, statusCode, headers);
+  }
+
+  onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    this.#call.onResponseData?.(controller, chunk);
+  }
+
+  onResponseEnd(
+    controller: Dispatcher.DispatchController,
+    trailers: Parameters<NonNullable<WaitingCall["onResponseEnd"]>>[1],
+  ): void {
+    // The answer is whole here, but undici frees the connection only after this call.
+    queueMicrotask(this.#release);
+    this.#call.onResponseEnd?.(controller, trailers);
+  }
+
+  onResponseError(controller: Dispatcher.DispatchController, error: Error): void {
+    queueMicrotask(this.#release);
+    this.#call.onResponseError?.(controller, error);
+  }
+}
--- a/request/request_core.ts
+++ b/request/request_core.ts
@@ -146,7 +146,8 @@
 interface ExtraAsking {
   readonly shardIndex: number;
   readonly world: RequestWorld;
-  readonly kind: ExtraCallKind;
+  /** What the call is for; one in place of a call that was never sent is no extra call. */
+  readonly kind: ExtraCallKind | "replacement";
 }
 
 /** Asks another leaf, if the route, the time left and the budget allow it; else leaves all as is. */
@@ -158,7 +159,10 @@
     return step(state);
   }
   const leafId = chooseFor(state, shardIndex, world);
-  if (leafId === undefined || !world.takeExtraCall(shard.service, kind)) {
+  if (leafId === undefined) {
+    return step(state);
+  }
+  if (kind !== "replacement" && !world.takeExtraCall(shard.service, kind)) {
     return step(state);
   }
   return sendAttempt(state, { shardIndex, leafId, nowMs: world.nowMs });
@@ -240,7 +244,7 @@
       return recover(state, { shardIndex, world, mayRepeat: state.terms.route.repeatable });
     }
     const notSent = updateShard(state, shardIndex, (shard) => ({ ...shard, runs: shard.runs - 1 }));
-    return recover(notSent, { shardIndex, world, mayRepeat: true });
+    return recover(notSent, { shardIndex, world, mayRepeat: true, kind: "replacement" });
   },
 };
 
@@ -260,12 +264,17 @@
   readonly world: RequestWorld;
   /** Whether the shard may be asked again at all. */
   readonly mayRepeat: boolean;
+  /** What the next call would be for; a retry by default. */
+  readonly kind?: ExtraAsking["kind"];
 }
 
 /** Asks again after an attempt came to nothing; a shard with nothing under way any more is lost. */
-function recover(state: RequestState, { shardIndex, world, mayRepeat }: Recovery): RequestStep {
+function recover(
+  state: RequestState,
+  { shardIndex, world, mayRepeat, kind = "retry" }: Recovery,
+): RequestStep {
   const next = mayRepeat
-    ? askAgain(state, { shardIndex, world, kind: "retry" })
+    ? askAgain(state, { shardIndex, world, kind })
     : step<RequestState, RequestEffect>(state);
   const open = next.state.shards[shardIndex]?.open ?? [];
   return open.length > 0 ? next : { ...next, state: loseShard(next.state, shardIndex) };
--- /dev/null
+++ b/request/request_core_test.ts
@@ -0,0 +1,193 @@
+import t from "tap";
+import type { Route } from "../routing/mod.js";
+import { newRequest, stepRequest } from "./request_core.js";
+import type {
+  AttemptOutcome,
+  LeafAnswer,
+  RequestEffect,
+  RequestEvent,
+  RequestState,
+  RequestWorld,
+} from "./request_state.js";
+
+const GATHER: Route = {
+  name: "sweep",
+  host: "h",
+  pathPrefix: "/a/",
+  repeatable: true,
+  timeoutMs: 1_000,
+  aimMs: 100,
+  priorityRank: 0,
+  maxAttempts: 2,
+  target: { kind: "gather", shards: ["s1", "s2"], topRecords: 2, leastShare: 0.5 },
+};
+
+const SINGLE: Route = {
+  ...GATHER,
+  target: { kind: "single", services: [{ service: "s1", weight: 1 }] },
+};
+
+const UNREPEATABLE: Route = { ...SINGLE, repeatable: false };
+
+/** Drives one request: leafs are `<service>-a` and `<service>-b`, extra calls as many as told. */
+class Driver {
+  state: RequestState;
+  effects: ReadonlyArray<RequestEffect> = [];
+  nowMs = 0;
+  extraCalls: number;
+
+  constructor(route: Route, { extraCalls = 10 }: { readonly extraCalls?: number } = {}) {
+    this.extraCalls = extraCalls;
+    const terms = {
+      requestId: "r",
+      route,
+      arrivedAtMs: 0,
+      deadlineAtMs: 1_000,
+      aimAtMs: 100,
+      maxAttempts: route.maxAttempts,
+    };
+    const { target } = route;
+    this.state = newRequest(terms, target.kind === "gather" ? target.shards : ["s1"]);
+    this.take({ kind: "started" });
+  }
+
+  take(event: RequestEvent): ReadonlyArray<RequestEffect> {
+    const world: RequestWorld = {
+      nowMs: this.nowMs,
+      chooseLeaf: (service, excluded) => {
+        return [`${service}-a`, `${service}-b`].find((leafId) => !excluded.has(leafId));
+      },
+      takeExtraCall: () => {
+        this.extraCalls -= 1;
+        return this.extraCalls >= 0;
+      },
+    };
+    const next = stepRequest(this.state, event, world);
+    this.state = next.state;
+    this.effects = next.effects;
+    return next.effects;
+  }
+
+  end(attemptId: number, outcome: AttemptOutcome): ReadonlyArray<RequestEffect> {
+    return this.take({ kind: "attemptEnded", attemptId, outcome });
+  }
+}
+
+function answered(statusCode: number, signature: string, first = 1): AttemptOutcome {
+  return { kind: "answered", answer: leafAnswer(statusCode, signature, first) };
+}
+
+function leafAnswer(statusCode: number, signature: string, first: number): LeafAnswer {
+  return { statusCode, headers: [], signature, body: Buffer.alloc(16, first) };
+}
+
+function calls(effects: ReadonlyArray<RequestEffect>): ReadonlyArray<string> {
+  return effects.flatMap((effect) => (effect.kind === "call" ? [effect.leafId] : []));
+}
+
+function replyOf(effects: ReadonlyArray<RequestEffect>) {
+  return effects.flatMap((effect) => (effect.kind === "reply" ? [effect.reply] : []))[0];
+}
+
+t.test("a query asks one leaf of each shard and merges when all parts are in", async (t) => {
+  const driver = new Driver(GATHER);
+  t.same(calls(driver.effects), ["s1-a", "s2-a"]);
+  t.equal(replyOf(driver.end(1, answered(200, "x", 3))), undefined);
+  const reply = replyOf(driver.end(2, answered(200, "y", 9)));
+  t.match(reply, { kind: "merged", signatures: ["x", "y"], missingParts: 0 });
+  t.same(
+    reply?.kind === "merged" && reply.records,
+    Buffer.concat([Buffer.alloc(16, 9), Buffer.alloc(16, 3)]),
+  );
+});
+
+t.test("a shard that is silent is asked a second time, within the budget", async (t) => {
+  const driver = new Driver(GATHER, { extraCalls: 1 });
+  driver.end(1, answered(200, "x"));
+  driver.nowMs = 30;
+  t.same(calls(driver.take({ kind: "timer", timer: "hedge" })), ["s2-b"]);
+  const spent = new Driver(GATHER, { extraCalls: 0 });
+  t.same(calls(spent.take({ kind: "timer", timer: "hedge" })), []);
+});
+
+t.test("two answers for one shard count as one part", async (t) => {
+  const driver = new Driver(GATHER);
+  driver.take({ kind: "timer", timer: "hedge" });
+  t.equal(replyOf(driver.end(1, answered(200, "x"))), undefined);
+  t.equal(replyOf(driver.end(3, answered(200, "x2"))), undefined);
+  t.equal(driver.state.partsIn, 1);
+});
+
+t.test("past the aim the least share suffices, at once or when it comes in", async (t) => {
+  const early = new Driver(GATHER);
+  early.end(1, answered(200, "x"));
+  t.match(replyOf(early.take({ kind: "timer", timer: "aim" })), {
+    kind: "merged",
+    missingParts: 1,
+  });
+  const late = new Driver(GATHER);
+  t.equal(replyOf(late.take({ kind: "timer", timer: "aim" })), undefined);
+  t.match(replyOf(late.end(2, answered(200, "y"))), { kind: "merged", missingParts: 1 });
+});
+
+t.test("a leaf's failure is no part, even with a signature", async (t) => {
+  const driver = new Driver(GATHER);
+  t.same(calls(driver.end(1, answered(500, "x"))), ["s1-b"]);
+  t.equal(driver.state.partsIn, 0);
+});
+
+t.test("a query that cannot reach its least share is answered at once", async (t) => {
+  const driver = new Driver({
+    ...GATHER,
+    target: { kind: "gather", shards: ["s1", "s2"], topRecords: 2, leastShare: 1 },
+  });
+  driver.end(1, { kind: "failed", sent: true, reason: "reset" });
+  t.match(replyOf(driver.end(3, { kind: "failed", sent: true, reason: "reset" })), {
+    kind: "failed",
+  });
+});
+
+t.test("a request that must not run twice is not sent again once a byte went out", async (t) => {
+  const driver = new Driver(UNREPEATABLE);
+  const effects = driver.end(1, { kind: "failed", sent: true, reason: "reset" });
+  t.same(calls(effects), []);
+  t.match(replyOf(effects), { kind: "failed" });
+  t.notOk(driver.effects.some((effect) => effect.kind === "wake"));
+});
+
+t.test("a request that has not run goes to another leaf, whatever its kind", async (t) => {
+  const unsent = new Driver(UNREPEATABLE);
+  t.same(calls(unsent.end(1, { kind: "failed", sent: false, reason: "refused" })), ["s1-b"]);
+  const refused = new Driver(UNREPEATABLE);
+  t.same(calls(refused.end(1, { kind: "refused", reason: "full" })), ["s1-b"]);
+  t.match(replyOf(refused.end(2, { kind: "refused", reason: "full" })), { kind: "notRun" });
+});
+
+t.test("no request is told not to have run while an attempt may have", async (t) => {
+  const driver = new Driver(UNREPEATABLE);
+  t.match(replyOf(driver.take({ kind: "timer", timer: "deadline" })), {
+    kind: "failed",
+    reason: "deadline",
+  });
+});
+
+t.test("a shard is never sent to more leafs than the route allows", async (t) => {
+  const driver = new Driver({ ...SINGLE, maxAttempts: 1 });
+  t.same(calls(driver.take({ kind: "timer", timer: "hedge" })), []);
+  t.same(calls(driver.end(1, { kind: "failed", sent: true, reason: "reset" })), []);
+});
+
+t.test("a success without a signature is never passed on", async (t) => {
+  const driver = new Driver(UNREPEATABLE);
+  t.match(replyOf(driver.end(1, answered(200, ""))), { kind: "failed" });
+});
+
+t.test("all calls are abandoned when the caller goes", async (t) => {
+  const driver = new Driver(GATHER);
+  const effects = driver.take({ kind: "callerGone" });
+  t.same(
+    effects.map(({ kind }) => kind),
+    ["abandon", "abandon"],
+  );
+  t.same(calls(driver.end(1, answered(500, ""))), []);
+});
