--- a/box/relay_frames.ts
+++ b/box/relay_frames.ts
@@ -16,6 +16,8 @@
   /** Services to ask one leaf each of. */
   readonly services: ReadonlyArray<string>;
   readonly topRecords: number;
+  /** Longest time to wait before what has come in is handed over, in milliseconds. */
+  readonly patienceMs: number;
   /** Time left, in milliseconds. */
   readonly leftMs: number;
 }
--- a/box/relay_server.ts
+++ b/box/relay_server.ts
@@ -94,7 +94,8 @@
       // At once: the box that asked can turn to other leafs.
       this.#tell([]);
     }
-    this.#timer = setTimeout(() => this.#flush(), usualMs * PATIENCE_FACTOR + PATIENCE_MS);
+    const patienceMs = Math.min(this.#order.patienceMs, usualMs * PATIENCE_FACTOR + PATIENCE_MS);
+    this.#timer = setTimeout(() => this.#flush(), patienceMs);
     this.#endIfDone();
   }
 
--- a/box/request_runner.ts
+++ b/box/request_runner.ts
@@ -169,7 +169,7 @@
     this.#openCalls.set(attemptId, open);
   }
 
-  #relay({ attemptId, box, calls, deadlineAtMs }: RelayEffect): void {
+  #relay({ attemptId, box, calls, deadlineAtMs, patienceMs }: RelayEffect): void {
     const { terms, forwarded } = this.#options;
     const { target } = terms.route;
     const member = this.#chosenBoxes.get(box);
@@ -181,7 +181,8 @@
     const services = calls.map(({ service }) => service);
     const { topRecords } = target;
     const { requestId } = terms;
-    const order = { requestId, method, path, headers, services, topRecords, leftMs };
+    const forwardedTo = { requestId, method, path, headers, services };
+    const order = { ...forwardedTo, topRecords, patienceMs, leftMs };
     const notes = new Map(
       calls.map(({ service, leafId }) => [service, this.#box.calls.noteRelayed(leafId)]),
     );
--- a/request/request_core.ts
+++ b/request/request_core.ts
@@ -34,6 +34,12 @@
 /** A shard is asked a second time only once the first call took this many times its expected time. */
 const HEDGE_EXPECTED_FACTOR = 1.7;
 
+/** Share of the aim by which it is asked whatever the first call usually takes: later is too late. */
+const HEDGE_LATEST_AIM_SHARE = 0.5;
+
+/** Share of the aim that a box near the leafs waits at most before it hands over what has come in. */
+const RELAY_PATIENCE_AIM_SHARE = 0.3;
+
 /** Least time that an attempt must have before it is worth sending, in milliseconds. */
 const LEAST_ATTEMPT_MS = 10;
 
@@ -164,8 +170,9 @@
   if (isSettled(shard) || only === undefined || shard.open.length > 1) {
     return Number.POSITIVE_INFINITY;
   }
-  const patienceMs = (terms.aimAtMs - terms.arrivedAtMs) * HEDGE_AIM_SHARE;
-  return only.startedAtMs + Math.max(patienceMs, only.expectedMs * HEDGE_EXPECTED_FACTOR);
+  const aimMs = terms.aimAtMs - terms.arrivedAtMs;
+  const usualMs = Math.max(aimMs * HEDGE_AIM_SHARE, only.expectedMs * HEDGE_EXPECTED_FACTOR);
+  return only.startedAtMs + Math.min(aimMs * HEDGE_LATEST_AIM_SHARE, usualMs);
 }
 
 /** Sets the timer for the next shard that will have waited long enough. */
@@ -203,10 +210,11 @@
   const relayed = calls.map(({ shardIndex, leaf }) => {
     return { service: state.shards[shardIndex]?.service ?? "", leafId: leaf.leafId };
   });
-  const { deadlineAtMs } = state.terms;
+  const { aimAtMs, arrivedAtMs, deadlineAtMs } = state.terms;
+  const patienceMs = (aimAtMs - arrivedAtMs) * RELAY_PATIENCE_AIM_SHARE;
   return step(
     { ...sent, nextAttemptId: attemptId + 1 },
-    { kind: "relay", attemptId, box: box.box, calls: relayed, deadlineAtMs },
+    { kind: "relay", attemptId, box: box.box, calls: relayed, deadlineAtMs, patienceMs },
   );
 }
 
--- a/request/request_state.ts
+++ b/request/request_state.ts
@@ -134,6 +134,8 @@
       readonly attemptId: number;
       readonly box: string;
       readonly calls: ReadonlyArray<RelayedCall>;
+      /** Longest time that the box waits before it hands over what has come in, in milliseconds. */
+      readonly patienceMs: number;
       readonly deadlineAtMs: number;
     }
   | { readonly kind: "abandon"; readonly attemptId: number }
