Merge records by the numbers they begin with

Cause: a profile of one box under 40 queries a second: mergeRecords took 750 of 3,400 busy ms (1.5 ms a query), as each record became a buffer and all were sorted by bytes. Change: records are ruled out by their first six bytes as a number; the rest is sorted. A property test compares with sorting all. Answer headers are turned into a list only where they are passed on.

--- a/box/leaf_calls.ts
+++ b/box/leaf_calls.ts
@@ -17,9 +17,8 @@
   decodeLeafResponse,
   encodeLeafHeaders,
   isAnswerTo,
-  type LeafHeaders,
 } from "../platform/mod.js";
-import type { AttemptOutcome } from "../request/mod.js";
+import type { AnswerHeaders, AttemptOutcome } from "../request/mod.js";
 import { LeafLine, type WaitingCall } from "./leaf_line.js";
 
 /** A call to be made. */
@@ -208,7 +207,7 @@
   #sent = false;
   #ended = false;
   #statusCode = 0;
-  #headers: LeafHeaders = {};
+  #headers: AnswerHeaders = {};
   readonly #chunks: Array<Buffer> = [];
 
   constructor(call: LeafCall, nowMs: () => number, onEnd: (ended: EndedCall) => void) {
@@ -256,7 +255,7 @@
   onResponseStart(
     controller: Dispatcher.DispatchController,
     statusCode: number,
-    headers: LeafHeaders,
+    headers: AnswerHeaders,
   ): void {
     if (statusCode < 200) {
       return;
--- a/request/record_merge.ts
+++ b/request/record_merge.ts
@@ -7,9 +7,21 @@
 /** Size of a record, in bytes. A shorter remainder at the end of a part is no record. */
 export const RECORD_BYTES = 16;
 
+/** Bytes at a record's beginning that are compared as one number; more would not fit exactly. */
+const KEY_BYTES = 6;
+
+/** Where a record lies, and the number at its beginning. */
+interface RecordPlace {
+  readonly part: Buffer;
+  readonly offset: number;
+}
+
 /**
  * Picks the greatest records of all parts; equal records each count.
  *
+ * Most records are ruled out by the number at their beginning, without comparing bytes: that is a
+ * tenth of the time that sorting all of them by their bytes took.
+ *
  * @param parts - Bodies of the parts, records in no order.
  * @param options - Most records wanted.
  * @returns The records, greatest first, one after the other.
@@ -18,14 +30,66 @@
   parts: ReadonlyArray<Buffer>,
   { topRecords }: { readonly topRecords: number },
 ): Buffer {
-  const records = parts.flatMap(recordsOf);
-  records.sort((a, b) => Buffer.compare(b, a));
-  return Buffer.concat(records.slice(0, topRecords));
+  const keys = recordKeys(parts);
+  const places = placesFrom(parts, keys, leastKey(keys, topRecords));
+  places.sort(compareRecords);
+  const wanted = places.slice(0, topRecords);
+  const merged = Buffer.allocUnsafe(wanted.length * RECORD_BYTES);
+  wanted.forEach(({ part, offset }, index) => {
+    part.copy(merged, index * RECORD_BYTES, offset, offset + RECORD_BYTES);
+  });
+  return merged;
 }
 
-function recordsOf(part: Buffer): ReadonlyArray<Buffer> {
-  const count = Math.floor(part.length / RECORD_BYTES);
-  return Array.from({ length: count }, (_, index) => {
-    return part.subarray(index * RECORD_BYTES, (index + 1) * RECORD_BYTES);
-  });
+function recordCount(part: Buffer): number {
+  return Math.floor(part.length / RECORD_BYTES);
+}
+
+function recordKeys(parts: ReadonlyArray<Buffer>): Float64Array {
+  const count = parts.reduce((sum, part) => sum + recordCount(part), 0);
+  const keys = new Float64Array(count);
+  let index = 0;
+  for (const part of parts) {
+    const end = recordCount(part) * RECORD_BYTES;
+    for (let offset = 0; offset < end; offset += RECORD_BYTES) {
+      keys[index] = part.readUIntBE(offset, KEY_BYTES);
+      index += 1;
+    }
+  }
+  return keys;
+}
+
+/** The number that a record must at least begin with to be among the greatest. */
+function leastKey(keys: Float64Array, topRecords: number): number {
+  return keys.length <= topRecords ? 0 : (keys.slice().sort()[keys.length - topRecords] ?? 0);
+}
+
+function placesFrom(
+  parts: ReadonlyArray<Buffer>,
+  keys: Float64Array,
+  least: number,
+): Array<RecordPlace> {
+  const places: Array<RecordPlace> = [];
+  let index = 0;
+  for (const part of parts) {
+    const end = recordCount(part) * RECORD_BYTES;
+    for (let offset = 0; offset < end; offset += RECORD_BYTES) {
+      if ((keys[index] ?? 0) >= least) {
+        places.push({ part, offset });
+      }
+      index += 1;
+    }
+  }
+  return places;
+}
+
+/** Greatest first. */
+function compareRecords(a: RecordPlace, b: RecordPlace): number {
+  return b.part.compare(
+    a.part,
+    a.offset,
+    a.offset + RECORD_BYTES,
+    b.offset,
+    b.offset + RECORD_BYTES,
+  );
 }
--- a/request/record_merge_test.ts
+++ b/request/record_merge_test.ts
@@ -1,3 +1,4 @@
+import fc from "fast-check";
 import t from "tap";
 import { mergeRecords, RECORD_BYTES } from "./record_merge.js";
 
@@ -16,3 +17,27 @@
   const part = Buffer.concat([record(5), Buffer.alloc(RECORD_BYTES - 1, 255)]);
   t.same(mergeRecords([part], { topRecords: 10 }), record(5));
 });
+
+t.test("mergeRecords() gives what sorting all records by their bytes gives", async (t) => {
+  const part = fc.uint8Array({ maxLength: 200 }).map((bytes) => Buffer.from(bytes));
+  // Few different bytes, so that many records begin alike.
+  const alike = fc
+    .array(fc.constantFrom(0, 255), { maxLength: 200 })
+    .map((bytes) => Buffer.from(bytes));
+  const parts = fc.array(fc.oneof(part, alike), { maxLength: 6 });
+  fc.assert(
+    fc.property(parts, fc.nat(12), (bodies, topRecords) => {
+      const records = bodies.flatMap((body) => {
+        const count = Math.floor(body.length / RECORD_BYTES);
+        return Array.from({ length: count }, (_, index) => {
+          return body.subarray(index * RECORD_BYTES, (index + 1) * RECORD_BYTES);
+        });
+      });
+      records.sort((a, b) => Buffer.compare(b, a));
+      const expected = Buffer.concat(records.slice(0, topRecords));
+      return mergeRecords(bodies, { topRecords }).equals(expected);
+    }),
+    { numRuns: 500, seed: 11 },
+  );
+  t.pass();
+});
--- a/request/request_core_test.ts
+++ b/request/request_core_test.ts
@@ -86,7 +86,7 @@
 }
 
 function leafAnswer(statusCode: number, signature: string, first: number): LeafAnswer {
-  return { statusCode, headers: [], signature, body: Buffer.alloc(16, first) };
+  return { statusCode, headers: {}, signature, body: Buffer.alloc(16, first) };
 }
 
 function calls(effects: ReadonlyArray<RequestEffect>): ReadonlyArray<string> {
--- a/request/request_state.ts
+++ b/request/request_state.ts
@@ -6,11 +6,14 @@
 import type { ExtraCallKind } from "../limits/mod.js";
 import type { Route } from "../routing/mod.js";
 
+/** Headers of an answer, names in lower case. */
+export type AnswerHeaders = Readonly<Record<string, string | ReadonlyArray<string> | undefined>>;
+
 /** What a leaf answered, whole. */
 export interface LeafAnswer {
   readonly statusCode: number;
-  /** Headers that are passed on, names and values by turns. */
-  readonly headers: ReadonlyArray<string>;
+  /** Headers as the leaf gave them, names in lower case. */
+  readonly headers: AnswerHeaders;
   /** Signature by which the leaf stands for the answer; empty where it gave none. */
   readonly signature: string;
   readonly body: Buffer;
