List anew without old answers after a lost history; reload on SIGHUP; bound slow senders

Cause, found by reading: after a 410 the watch listed with an answer that may be seconds old, so a drain in the gap could be missed for longer than drainMs, and the old revision led to the next 410. Test registry_watch_test red before ('stale list' twice), green now. Beside it: SIGHUP takes in seeds and bounds (was only told); a request that is not sent within 30 s is ended (there was no bound); a malformed order of a peer is answered 400 (it ended the process).

--- a/bin/rackvale_box.ts
+++ b/bin/rackvale_box.ts
@@ -31,6 +31,13 @@
 });
 process.on("SIGTERM", () => box.stop());
 process.on("SIGINT", () => box.stop());
-// The settings of a process do not change what it does while it runs; a change is only told.
-process.on("SIGHUP", () => telemetry.event("info", "box: settings changed", {}));
+process.on("SIGHUP", () => {
+  const changed = readBoxSettings(process.env[SETTINGS_VARIABLE]);
+  if (changed.isErr()) {
+    // The settings in force are kept; those that cannot be read must not end a box that serves.
+    telemetry.event("error", "box: cannot reload", { reason: changed.error.message });
+  } else {
+    box.reload(changed.value);
+  }
+});
 await box.start();
--- a/box/box_knowledge.ts
+++ b/box/box_knowledge.ts
@@ -175,6 +175,7 @@
         this.#lost.add(kind);
         telemetry.event("warn", "store: lost", { kind, reason: error.message });
       },
+      onHistoryGone: () => telemetry.event("warn", "store: history gone, listing anew", { kind }),
       onRegained: () => {
         this.#lost.delete(kind);
         this.#regainedAtMs = nowMs();
--- a/box/box_shell.ts
+++ b/box/box_shell.ts
@@ -84,7 +84,7 @@
 
 /** A running box. */
 export class Box {
-  readonly #settings: BoxSettings;
+  #settings: BoxSettings;
   readonly #telemetry: BoxTelemetry;
   readonly #onEnd: () => void;
   readonly #store: StoreClient;
@@ -119,8 +119,8 @@
     });
     this.#calls = new LeafCalls({ nowMs, connectionsTo: (service) => this.#connections(service) });
     this.#budgets = new ExtraCallBudgets({
-      share: settings.extraCallShare,
-      slackCalls: settings.extraCallSlack,
+      share: () => this.#settings.extraCallShare,
+      slackCalls: () => this.#settings.extraCallSlack,
       countBoxes: () => this.#countBoxes(),
     });
     this.#runner = new RequestRunner({
@@ -140,9 +140,7 @@
     });
     this.#fleet = new FleetLink({
       self: this.#self(),
-      seeds: settings.seeds
-        .map(({ address }) => address)
-        .filter((address) => address !== settings.address),
+      seeds: () => this.#seedAddresses(),
       port: settings.datagramPort,
       nowMs,
       progress: () => this.#progress(),
@@ -177,6 +175,20 @@
     this.#telemetry.event("info", "box: started", { startMs: Math.round(performance.now()) });
   }
 
+  /**
+   * Takes in changed settings: seeds and bounds hold from now on; addresses and names stay as they
+   * are until the next start.
+   *
+   * @param settings - The settings as they are now.
+   */
+  reload(settings: BoxSettings): void {
+    const before = this.#settings;
+    const { seeds, mostKeepMs, stopGraceMs, extraCallShare, extraCallSlack } = settings;
+    const changed = { seeds, mostKeepMs, stopGraceMs, extraCallShare, extraCallSlack };
+    this.#settings = { ...before, ...changed };
+    this.#telemetry.event("info", "box: reloaded", changed);
+  }
+
   /** Begins a planned stop: no longer advised, serves on, finishes what it took, ends. */
   stop(): void {
     if (lifecyclePhase(this.#lifecycle) === "leaving") {
@@ -254,6 +266,11 @@
     }
   }
 
+  #seedAddresses(): ReadonlyArray<string> {
+    const { address: own, seeds } = this.#settings;
+    return seeds.map(({ address }) => address).filter((address) => address !== own);
+  }
+
   #progress(): Progress {
     return {
       configurationVersion: this.#knowledge.routes?.configuration.version ?? 0,
--- a/box/caller_server.ts
+++ b/box/caller_server.ts
@@ -42,6 +42,12 @@
 /** Most bytes of headers taken; callers' own limit is lower. */
 const MAX_HEADER_BYTES = 65_536;
 
+/**
+ * Longest time that a caller may take to send a request, in milliseconds; it is told then that the
+ * request has not run. Well above any deadline of a caller that sends in time.
+ */
+const MOST_READ_MS = 30_000;
+
 /**
  * Makes the server that faces callers; it is not listening yet.
  *
@@ -62,8 +68,7 @@
       takeRequest({ request, response, body, arrivedAtMs, opensConnection }, options);
     });
   });
-  // Whole requests have no bound here: the deadline of each one is kept by its own timers.
-  server.requestTimeout = 0;
+  server.requestTimeout = MOST_READ_MS;
   return server;
 }
 
--- a/box/extra_call_budgets.ts
+++ b/box/extra_call_budgets.ts
@@ -22,10 +22,10 @@
 
 /** What the budgets depend on. */
 export interface ExtraCallTerms {
-  /** Extra calls allowed, as a share of a service's requests. */
-  readonly share: number;
-  /** Extra calls allowed besides in each window, over all boxes. */
-  readonly slackCalls: number;
+  /** Tells the extra calls allowed, as a share of a service's requests. */
+  readonly share: () => number;
+  /** Tells the extra calls allowed besides in each window, over all boxes. */
+  readonly slackCalls: () => number;
   /** Tells how many boxes share the slack. */
   readonly countBoxes: () => number;
 }
@@ -50,7 +50,7 @@
   credit(service: string): void {
     const burstCalls = this.#burstCalls();
     const budget = this.#budgetOf(service, burstCalls);
-    const extraLoadShare = this.#terms.share * SHARE_USED;
+    const extraLoadShare = this.#terms.share() * SHARE_USED;
     this.#budgets.set(service, creditFirstCalls(budget, 1, { extraLoadShare, burstCalls }));
   }
 
@@ -75,6 +75,6 @@
   }
 
   #burstCalls(): number {
-    return (this.#terms.slackCalls * SLACK_USED) / Math.max(1, this.#terms.countBoxes());
+    return (this.#terms.slackCalls() * SLACK_USED) / Math.max(1, this.#terms.countBoxes());
   }
 }
--- a/box/fleet_link.ts
+++ b/box/fleet_link.ts
@@ -44,8 +44,8 @@
 /** What the link needs of its box. */
 export interface FleetLinkOptions {
   readonly self: Member;
-  /** Where to ask before any other box is known. */
-  readonly seeds: ReadonlyArray<string>;
+  /** Tells where to ask before any other box is known. */
+  readonly seeds: () => ReadonlyArray<string>;
   /** Port of the datagrams on every box. */
   readonly port: number;
   readonly nowMs: () => number;
@@ -82,7 +82,7 @@
     this.#socket.on("error", (error) => onFault(error.message));
     await new Promise<void>((resolve) => this.#socket.bind(port, self.address, resolve));
     this.#timer = setInterval(() => this.#askNext(), ASK_EVERY_MS);
-    for (const seed of this.#options.seeds) {
+    for (const seed of this.#options.seeds()) {
       this.#ask(seed);
     }
   }
@@ -130,7 +130,7 @@
       .filter(({ state }) => state !== "dead");
     const chosen = candidates[pick(candidates.length)];
     if (chosen === undefined) {
-      for (const seed of seeds) {
+      for (const seed of seeds()) {
         this.#ask(seed);
       }
       return;
--- a/box/registry_watch.ts
+++ b/box/registry_watch.ts
@@ -23,6 +23,8 @@
   onList(list: StoreList): void;
   /** Told of changes. */
   onChanges(changes: StoreChanges): void;
+  /** Told when changes were missed, so that all is listed anew. */
+  onHistoryGone(): void;
   /** Told when the store can no longer be heard, and why. */
   onLost(error: StoreError): void;
   /** Told when it can be heard again. */
@@ -31,7 +33,7 @@
 
 /** What is watched. */
 export interface RegistryWatchOptions {
-  readonly store: StoreClient;
+  readonly store: Pick<StoreClient, "list" | "watch">;
   readonly kind: string;
   /** Whether the first list may be seconds old; the watch that follows brings it up to date. */
   readonly mayBeStale: boolean;
@@ -44,6 +46,7 @@
   #stopped = false;
   #revision: number | undefined;
   #failures = 0;
+  #hasListed = false;
 
   /**
    * @param options - What is watched.
@@ -71,11 +74,13 @@
 
   async #list(): Promise<number> {
     const { store, kind, mayBeStale } = this.#options;
-    const list = await store.list(kind, { mayBeStale: mayBeStale && this.#failures === 0 });
+    // Only the first list may be old: one after the history was lost must hold what the gap hid.
+    const list = await store.list(kind, { mayBeStale: mayBeStale && !this.#hasListed });
     if (list.isErr()) {
       return this.#fail(list.error);
     }
     this.#recover();
+    this.#hasListed = true;
     this.#revision = list.value.revision;
     this.#listener.onList(list.value);
     return 0;
@@ -88,6 +93,7 @@
     if (changes.isErr()) {
       if (changes.error.kind === "historyGone") {
         this.#revision = undefined;
+        this.#listener.onHistoryGone();
         return 0;
       }
       return this.#fail(changes.error);
--- /dev/null
+++ b/box/registry_watch_test.ts
@@ -0,0 +1,61 @@
+import { err, ok } from "neverthrow";
+import t from "tap";
+import type { StoreClient } from "../platform/mod.js";
+import { RegistryWatch } from "./registry_watch.js";
+
+type Store = Pick<StoreClient, "list" | "watch">;
+
+/** Runs a watch against scripted watch results and tells what was called and heard. */
+async function runWatch(results: ReadonlyArray<Awaited<ReturnType<Store["watch"]>>>) {
+  const calls: Array<string> = [];
+  const heard: Array<string> = [];
+  const left = [...results];
+  const store: Store = {
+    list: async (_kind, { mayBeStale }) => {
+      calls.push(mayBeStale ? "stale list" : "list");
+      return ok({ objects: [], revision: 7 });
+    },
+    watch: async (_kind, { sinceRevision }) => {
+      calls.push(`watch ${sinceRevision}`);
+      const next = left.shift();
+      if (left.length === 0) {
+        watch.stop();
+      }
+      return next ?? err({ kind: "unavailable", message: "the script has ended" });
+    },
+  };
+  const watch = new RegistryWatch(
+    { store, kind: "leafs", mayBeStale: true },
+    {
+      onList: () => heard.push("list"),
+      onChanges: ({ revision }) => heard.push(`changes to ${revision}`),
+      onHistoryGone: () => heard.push("history gone"),
+      onLost: () => heard.push("lost"),
+      onRegained: () => heard.push("regained"),
+    },
+  );
+  await watch.run();
+  return { calls, heard };
+}
+
+const NOTHING = ok({ changed: [], removed: [], revision: 9 });
+const GONE = err({ kind: "historyGone", message: "" } as const);
+const DOWN = err({ kind: "unavailable", message: "" } as const);
+const CHANGE = ok({ changed: [{ name: "a", revision: 8, spec: {} }], removed: [], revision: 8 });
+
+t.test("only the first list may be stale: after a lost history it hides nothing", async (t) => {
+  const { calls, heard } = await runWatch([GONE, NOTHING]);
+  t.same(calls, ["stale list", "watch 7", "list", "watch 7"]);
+  t.same(heard, ["list", "history gone", "list"]);
+});
+
+t.test("changes are told and the watch goes on from their revision", async (t) => {
+  const { calls, heard } = await runWatch([CHANGE, NOTHING]);
+  t.same(calls, ["stale list", "watch 7", "watch 8"]);
+  t.same(heard, ["list", "changes to 8"]);
+});
+
+t.test("an outage is told once when it begins and once when it ends", async (t) => {
+  const { heard } = await runWatch([DOWN, DOWN, NOTHING]);
+  t.same(heard, ["list", "lost", "regained"]);
+});
--- a/box/relay_server.ts
+++ b/box/relay_server.ts
@@ -53,7 +53,11 @@
   const chunks: Array<Buffer> = [];
   request.on("data", (chunk: Buffer) => chunks.push(chunk));
   request.on("end", () => {
-    const order = JSON.parse(Buffer.concat(chunks).toString("utf8")) as RelayOrder;
+    const order = decodeOrder(Buffer.concat(chunks));
+    if (order === undefined) {
+      response.writeHead(400).end();
+      return;
+    }
     response.writeHead(200);
     const relay = new Relay(order, response, options);
     response.on("close", () => relay.stop());
@@ -61,6 +65,16 @@
   });
 }
 
+/** Boxes trust one another; only what is no order at all is turned away. */
+function decodeOrder(body: Buffer): RelayOrder | undefined {
+  try {
+    const order = JSON.parse(body.toString("utf8")) as RelayOrder;
+    return Array.isArray(order.services) ? order : undefined;
+  } catch {
+    return undefined;
+  }
+}
+
 interface NearPart {
   readonly service: string;
   readonly signature: string;
