Log what decided each request and how old it was; explain a request from the logs

A request's line holds the configuration's version, the leafs' revision, the age of what the store said, second attempts, failures, refusals and what is open; callers that go and requests refused before a configuration have theirs. rackvale explain REQUEST-ID < logs joins them with what the box came to believe around that time. Tests beside.

--- a/box/box_knowledge.ts
+++ b/box/box_knowledge.ts
@@ -64,6 +64,7 @@
   /** Kinds whose watch has lost the store. */
   readonly #lost = new Set<string>();
   #regainedAtMs = -Infinity;
+  #heardAtMs = -Infinity;
 
   /**
    * @param options - What the knowledge is made from.
@@ -127,6 +128,11 @@
     return this.#leafsRevision;
   }
 
+  /** When the store was last heard, on this box's clock; minus infinity before the first time. */
+  get heardAtMs(): number {
+    return this.#heardAtMs;
+  }
+
   /** Whether the store can be heard. */
   get hearsStore(): boolean {
     return this.#lost.size === 0;
@@ -171,6 +177,9 @@
     const { telemetry, nowMs } = this.#options;
     return {
       ...handlers,
+      onHeard: () => {
+        this.#heardAtMs = nowMs();
+      },
       onLost: (error) => {
         this.#lost.add(kind);
         telemetry.event("warn", "store: lost", { kind, reason: error.message });
--- a/box/box_shell.ts
+++ b/box/box_shell.ts
@@ -23,18 +23,18 @@
   type ResolveQuestion,
   StoreClient,
 } from "../platform/mod.js";
-import type { Reply, RequestState, RequestTerms } from "../request/mod.js";
+import type { Reply, RequestTerms } from "../request/mod.js";
 import { findRoute, type Route, type SplitCredits, splitService } from "../routing/mod.js";
 import { listen } from "./_listen.js";
 import { BoxKnowledge, type SharedKnowledge } from "./box_knowledge.js";
-import type { BoxTelemetry } from "./box_telemetry.js";
+import type { BoxTelemetry, LogFields } from "./box_telemetry.js";
 import { type AnswerCall, type ArrivedRequest, callerServer } from "./caller_server.js";
 import { ExtraCallBudgets } from "./extra_call_budgets.js";
 import { FleetLink, type Progress } from "./fleet_link.js";
 import { LeafCalls } from "./leaf_calls.js";
 import { RelayCalls } from "./relay_calls.js";
 import { answerRelay, RELAY_PATH } from "./relay_server.js";
-import { RequestRunner } from "./request_runner.js";
+import { type RequestAccount, RequestRunner } from "./request_runner.js";
 
 /** Path at which peers hand over what they know. */
 const KNOWLEDGE_PATH = "/peer/v1/knowledge";
@@ -344,6 +344,10 @@
   #take(arrived: ArrivedRequest, answer: AnswerCall): () => void {
     const routes = this.#knowledge.routes;
     if (routes === undefined) {
+      this.#telemetry.requestLine("request: not run, no configuration yet", {
+        requestId: arrived.terms.requestId,
+        hearsStore: this.#knowledge.hearsStore,
+      });
       answer({
         kind: "notRun",
         reason: "no configuration is known yet",
@@ -368,10 +372,11 @@
       terms,
       services: this.#servicesOf(route),
       forwarded,
-      onReply: (reply, state) => {
+      onReply: (reply, account) => {
         answer(reply);
-        this.#tell(reply, state, routes.configuration.version);
+        this.#tell(reply, account, routes.configuration.version);
       },
+      onGone: (account) => this.#tellGone(account, routes.configuration.version),
     });
     return () => run.callerGone();
   }
@@ -385,27 +390,47 @@
     return [service];
   }
 
-  #tell(reply: Reply, state: RequestState, version: number): void {
-    const { terms, shards, partsIn, partsLost, nextAttemptId } = state;
+  #tellGone(account: RequestAccount, version: number): void {
+    const route = account.state.terms.route.name;
+    this.#telemetry.requests.inc({ route, outcome: "callerGone" });
+    this.#telemetry.requestLine("request: caller gone", this.#accountFields(account, version));
+  }
+
+  #tell(reply: Reply, account: RequestAccount, version: number): void {
+    const { terms } = account.state;
     const tookMs = Math.round(nowMs() - terms.arrivedAtMs);
     const route = terms.route.name;
     this.#telemetry.requests.inc({ route, outcome: reply.kind });
     this.#telemetry.requestMs.observe({ route }, tookMs);
     this.#telemetry.requestLine("request: answered", {
+      outcome: reply.kind,
+      ...(reply.kind === "failed" || reply.kind === "notRun" ? { reason: reply.reason } : {}),
+      ...(reply.kind === "passed" ? { statusCode: reply.answer.statusCode } : {}),
+      ...this.#accountFields(account, version),
+    });
+  }
+
+  /** What decided a request, with the age of what the box knew. */
+  #accountFields({ state, notes }: RequestAccount, version: number): LogFields {
+    const { terms, shards, partsIn, partsLost, nextAttemptId } = state;
+    const now = nowMs();
+    return {
       requestId: terms.requestId,
-      route,
+      route: terms.route.name,
       version,
       leafsRevision: this.#knowledge.leafsRevision,
-      outcome: reply.kind,
-      ...(reply.kind === "failed" || reply.kind === "notRun" ? { reason: reply.reason } : {}),
-      tookMs,
-      leftMs: Math.round(terms.deadlineAtMs - nowMs()),
+      knownAgoMs: Math.round(now - this.#knowledge.heardAtMs),
+      tookMs: Math.round(now - terms.arrivedAtMs),
+      leftMs: Math.round(terms.deadlineAtMs - now),
       shards: shards.length,
       partsIn,
       partsLost,
       attempts: nextAttemptId - 1,
-      open: shards.flatMap(({ open }) => open.map(({ asked }) => asked)),
-    });
+      notes,
+      open: shards.flatMap(({ service, open }) => {
+        return open.map(({ asked }) => `${service} at ${asked}`);
+      }),
+    };
   }
 
   #sideServers(
--- a/box/registry_watch.ts
+++ b/box/registry_watch.ts
@@ -23,6 +23,8 @@
   onList(list: StoreList): void;
   /** Told of changes. */
   onChanges(changes: StoreChanges): void;
+  /** Told with each answer of the store, also one without a change. */
+  onHeard(): void;
   /** Told when changes were missed, so that all is listed anew. */
   onHistoryGone(): void;
   /** Told when the store can no longer be heard, and why. */
@@ -117,6 +119,7 @@
   }
 
   #recover(): void {
+    this.#listener.onHeard();
     if (this.#failures > 0) {
       this.#failures = 0;
       this.#listener.onRegained();
--- a/box/registry_watch_test.ts
+++ b/box/registry_watch_test.ts
@@ -29,6 +29,7 @@
     {
       onList: () => heard.push("list"),
       onChanges: ({ revision }) => heard.push(`changes to ${revision}`),
+      onHeard: () => undefined,
       onHistoryGone: () => heard.push("history gone"),
       onLost: () => heard.push("lost"),
       onRegained: () => heard.push("regained"),
--- a/box/request_runner.ts
+++ b/box/request_runner.ts
@@ -8,6 +8,7 @@
 import type { ExtraCallKind } from "../limits/mod.js";
 import type { Member } from "../model/mod.js";
 import {
+  type AttemptOutcome,
   newRequest,
   type Reply,
   type RequestEffect,
@@ -38,9 +39,30 @@
   readonly services: ReadonlyArray<string>;
   readonly forwarded: ForwardedRequest;
   /** Told once, unless the caller goes. */
-  readonly onReply: (reply: Reply, state: RequestState) => void;
+  readonly onReply: (reply: Reply, account: RequestAccount) => void;
+  /** Told once when the caller goes before its answer. */
+  readonly onGone: (account: RequestAccount) => void;
 }
 
+/** An attempt that was not plain: a second one, or one without a usable answer. */
+export interface AttemptNote {
+  /** Leaf or box that was asked. */
+  readonly asked: string;
+  /** Time from the request's arrival, in milliseconds. */
+  readonly atMs: number;
+  readonly what: string;
+}
+
+/** A request at its end, for logs. */
+export interface RequestAccount {
+  readonly state: RequestState;
+  /** Attempts that were not plain, the earliest first. */
+  readonly notes: ReadonlyArray<AttemptNote>;
+}
+
+/** Notes of one request that are kept; a query over many shards may have very many. */
+const MOST_NOTES = 40;
+
 /** A request that is running. */
 export interface RunningRequest {
   /** Stops all work, since the caller has gone. */
@@ -113,6 +135,7 @@
   readonly #openCalls = new Map<number, OpenCall>();
   readonly #timers = new Map<RequestTimer, NodeJS.Timeout>();
   readonly #chosenBoxes = new Map<string, Member>();
+  #notes: ReadonlyArray<AttemptNote> = [];
   #state: RequestState;
 
   constructor(options: RunOptions, box: RunnerOptions, onDone: () => void) {
@@ -123,7 +146,12 @@
   }
 
   callerGone(): void {
+    const wasDone = this.#state.done;
+    const account = this.#account();
     this.take({ kind: "callerGone" });
+    if (!wasDone) {
+      this.#options.onGone(account);
+    }
   }
 
   take(event: RequestEvent): void {
@@ -139,7 +167,12 @@
   }
 
   readonly #runners: EffectRunners = {
-    call: ({ attemptId, leafId, deadlineAtMs }) => this.#call(attemptId, leafId, deadlineAtMs),
+    call: ({ attemptId, shardIndex, leafId, deadlineAtMs }) => {
+      if ((this.#state.shards[shardIndex]?.asked.size ?? 0) > 1) {
+        this.#note(leafId, "asked again");
+      }
+      this.#call(attemptId, leafId, deadlineAtMs);
+    },
     relay: (effect) => this.#relay(effect),
     abandon: ({ attemptId }) => this.#openCalls.get(attemptId)?.abandon(),
     wake: ({ timer, atMs }) => {
@@ -150,9 +183,20 @@
         setTimeout(() => this.take({ kind: "timer", timer }), delayMs),
       );
     },
-    reply: ({ reply }) => this.#options.onReply(reply, this.#state),
+    reply: ({ reply }) => this.#options.onReply(reply, this.#account()),
   };
 
+  #account(): RequestAccount {
+    return { state: this.#state, notes: this.#notes };
+  }
+
+  #note(asked: string, what: string): void {
+    if (this.#notes.length < MOST_NOTES) {
+      const atMs = Math.round(this.#box.nowMs() - this.#options.terms.arrivedAtMs);
+      this.#notes = [...this.#notes, { asked, atMs, what }];
+    }
+  }
+
   #call(attemptId: number, leafId: string, deadlineAtMs: number): void {
     const leaf = this.#box.leafs().byId.get(leafId);
     if (leaf === undefined) {
@@ -164,11 +208,20 @@
     const call = { leaf, requestId, ...this.#options.forwarded, deadlineAtMs };
     const open = this.#box.calls.send(call, (outcome) => {
       this.#openCalls.delete(attemptId);
+      this.#noteEnd(leafId, outcome);
       this.take({ kind: "attemptEnded", attemptId, outcome });
     });
     this.#openCalls.set(attemptId, open);
   }
 
+  #noteEnd(asked: string, outcome: AttemptOutcome): void {
+    if (outcome.kind !== "answered") {
+      this.#note(asked, `${outcome.kind}: ${outcome.reason}`);
+    } else if (outcome.answer.statusCode >= 300) {
+      this.#note(asked, `status ${outcome.answer.statusCode}`);
+    }
+  }
+
   #relay({ attemptId, box, calls, deadlineAtMs, patienceMs }: RelayEffect): void {
     const { terms, forwarded } = this.#options;
     const { target } = terms.route;
@@ -194,6 +247,9 @@
         for (const service of parts.declined) {
           notes.get(service)?.("full");
         }
+        if (parts.declined.length > 0) {
+          this.#note(box, `declined ${parts.declined.length}`);
+        }
         this.take({ kind: "partsRelayed", attemptId, parts });
       },
       onEnd: () => {
--- a/cli/run_command.ts
+++ b/cli/run_command.ts
@@ -13,6 +13,7 @@
   type CommandSettings,
   EXIT_CODES,
 } from "./command.js";
+import { EXPLAIN_COMMANDS } from "./explain_command.js";
 import { objectCommands } from "./object_commands.js";
 import { QUERY_COMMANDS } from "./query_command.js";
 import { STATUS_COMMANDS } from "./status_command.js";
@@ -22,6 +23,7 @@
   ...objectCommands({ noun: "shardmap", path: "shardmaps", kind: "shardmap" }),
   ...QUERY_COMMANDS,
   ...STATUS_COMMANDS,
+  ...EXPLAIN_COMMANDS,
 };
 
 /** What the program prints and ends with. */
