Prove that a log nobody reads holds up nothing, and the bound on lines

Cause, found by the test: the last flush of a planned stop was synchronous and would wait for a reader for ever. It has 100 ms now.

--- a/box/box_shell.ts
+++ b/box/box_shell.ts
@@ -222,8 +222,7 @@
     this.#knowledge.stop();
     this.#fleet.stop();
     this.#telemetry.event("info", "box: stopped", { open: this.#runner.runningCount });
-    this.#telemetry.flush();
-    this.#onEnd();
+    void this.#telemetry.flush().then(() => this.#onEnd());
   }
 
   #move(event: LifecycleEvent["type"]): void {
--- a/box/box_telemetry.ts
+++ b/box/box_telemetry.ts
@@ -20,6 +20,9 @@
 /** Longest time that lines are gathered, in milliseconds. */
 const FLUSH_EVERY_MS = 500;
 
+/** Time for the last lines to be written when the process ends, in milliseconds. */
+const LAST_WRITE_MS = 100;
+
 /** Upper bounds of the latency histograms, in milliseconds; around the routes' aims of 80 to 800 ms. */
 const LATENCY_BOUNDS_MS = [
   5, 10, 20, 40, 60, 80, 100, 150, 200, 300, 500, 800, 1_500, 3_000, 6_000,
@@ -42,8 +45,8 @@
   readonly linesDropped: Counter;
   /** Gives all metrics as text. */
   metricsText(): Promise<string>;
-  /** Writes out what was gathered. */
-  flush(): void;
+  /** Writes out what was gathered; tells whether the log was read within a moment. */
+  flush(): Promise<boolean>;
 }
 
 /**
@@ -129,12 +132,11 @@
     linesDropped,
     metricsText: () => registry.metrics(),
     flush: () => {
-      try {
-        sink.flushSync();
-      } catch {
-        // The reader of the log has gone; there is nobody left to tell.
-        linesDropped.inc();
-      }
+      return new Promise((resolve) => {
+        // Not for long: a reader that has stopped must not hold up the end of the process.
+        setTimeout(() => resolve(false), LAST_WRITE_MS);
+        sink.flush((error) => resolve(error === undefined || error === null));
+      });
     },
   };
 }
--- /dev/null
+++ b/box/box_telemetry_test.ts
@@ -0,0 +1,73 @@
+import { spawnSync } from "node:child_process";
+import { constants, mkdtempSync, openSync, rmSync } from "node:fs";
+import { Socket } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { createInterface } from "node:readline";
+import t from "tap";
+import { until } from "../standins/waiting.js";
+import { boxTelemetry, REQUEST_LINES_PER_SECOND } from "./box_telemetry.js";
+
+/** A pipe that nobody reads until told to. */
+function unreadPipe() {
+  const folder = mkdtempSync(join(tmpdir(), "rackvale-log-"));
+  const path = join(folder, "log");
+  spawnSync("mkfifo", [path]);
+  // Open for reading as well, so that opening does not wait for a reader to come.
+  const logFd = openSync(path, constants.O_RDWR);
+  return {
+    folder,
+    logFd,
+    read: () => new Socket({ fd: openSync(path, constants.O_RDONLY | constants.O_NONBLOCK) }),
+  };
+}
+
+async function readLines(
+  input: NodeJS.ReadableStream,
+  isLast: (line: string) => boolean,
+): Promise<ReadonlyArray<string>> {
+  const lines: Array<string> = [];
+  for await (const line of createInterface({ input })) {
+    lines.push(line);
+    if (isLast(line)) {
+      break;
+    }
+  }
+  return lines;
+}
+
+t.test("a reader that has stopped holds up nothing; lines are dropped and counted", async (t) => {
+  const { folder, logFd, read } = unreadPipe();
+  t.teardown(() => rmSync(folder, { recursive: true }));
+  const telemetry = boxTelemetry("b", { logFd });
+  for (let number = 0; number < 20_000; number++) {
+    telemetry.event("info", "test: line", { number, filling: "x".repeat(100) });
+  }
+  const dropped = /rackvale_log_lines_dropped_total (\d+)/.exec(await telemetry.metricsText());
+  t.ok(Number(dropped?.[1]) > 0, `dropped ${dropped?.[1]}`);
+  t.equal(await telemetry.flush(), false);
+  const input = read();
+  const first = await readLines(input, (line) => line.includes('"number":10,'));
+  t.equal(first.length, 11);
+  // What waited is read to its end, so that no write is left under way.
+  input.resume();
+  await until(() => telemetry.flush(), "all is written");
+  input.destroy();
+});
+
+t.test("lines of requests are bounded in each second", async (t) => {
+  const { folder, logFd, read } = unreadPipe();
+  t.teardown(() => rmSync(folder, { recursive: true }));
+  const telemetry = boxTelemetry("b", { logFd });
+  for (let number = 0; number < 10 * REQUEST_LINES_PER_SECOND; number++) {
+    telemetry.requestLine("request: answered", { requestId: `r${number}` });
+  }
+  telemetry.event("info", "test: last");
+  const input = read();
+  const reading = readLines(input, (line) => line.includes("test: last"));
+  await telemetry.flush();
+  const lines = (await reading).filter((line) => line.includes("request: answered"));
+  // The loop may run over the end of a second, hardly over two.
+  t.ok(lines.length >= REQUEST_LINES_PER_SECOND && lines.length <= 3 * REQUEST_LINES_PER_SECOND);
+  input.destroy();
+});
