--- a/box/box_shell.ts
+++ b/box/box_shell.ts
@@ -493,7 +493,8 @@
     if (request.url === RELAY_PATH) {
       const leafs = (): LeafTable => this.#knowledge.leafs;
       const distance = (leaf: Leaf): Distance => this.#distance(leaf);
-      answerRelay(request, response, { nowMs, calls: this.#calls, leafs, distance });
+      const onParts = (count: number): void => this.#telemetry.relayedParts.inc(count);
+      answerRelay(request, response, { nowMs, calls: this.#calls, leafs, distance, onParts });
       return;
     }
     if (request.url !== KNOWLEDGE_PATH) {
--- a/box/box_telemetry.ts
+++ b/box/box_telemetry.ts
@@ -41,6 +41,7 @@
   readonly requestMs: Histogram<"route">;
   readonly attempts: Counter<"outcome">;
   readonly extraCalls: Counter<"kind">;
+  readonly relayedParts: Counter;
   readonly storeCalls: Gauge;
   readonly linesDropped: Counter;
   /** Gives all metrics as text. */
@@ -124,6 +125,11 @@
       labelNames: ["kind"],
       registers,
     }),
+    relayedParts: new Counter({
+      name: "rackvale_relayed_parts_total",
+      help: "Parts that this box got and merged for boxes of other regions",
+      registers,
+    }),
     storeCalls: new Gauge({
       name: "rackvale_store_calls",
       help: "Calls to the platform's store since the start",
--- a/box/relay_server.ts
+++ b/box/relay_server.ts
@@ -36,6 +36,8 @@
   readonly calls: LeafCalls;
   readonly leafs: () => LeafTable;
   readonly distance: (leaf: Leaf) => Distance;
+  /** Told how many parts were handed over. */
+  readonly onParts: (count: number) => void;
 }
 
 /**
@@ -178,6 +180,7 @@
     if (parts.length + this.#declined.length === 0 || this.#response.destroyed) {
       return;
     }
+    this.#options.onParts(parts.length);
     const declined = this.#declined;
     this.#declined = [];
     const records = mergeRecords(
--- a/box/request_runner.ts
+++ b/box/request_runner.ts
@@ -168,7 +168,7 @@
 
   readonly #runners: EffectRunners = {
     call: ({ attemptId, shardIndex, leafId, deadlineAtMs }) => {
-      if ((this.#state.shards[shardIndex]?.asked.size ?? 0) > 1) {
+      if ((this.#state.shards[shardIndex]?.runs ?? 0) > 1) {
         this.#note(leafId, "asked again");
       }
       this.#call(attemptId, leafId, deadlineAtMs);
--- a/request/request_core.ts
+++ b/request/request_core.ts
@@ -56,6 +56,7 @@
     shards: services.map((service) => ({
       service,
       asked: new Set(),
+      expectedOfBox: undefined,
       runs: 0,
       open: [],
       part: undefined,
@@ -205,7 +206,10 @@
   const { expectedMs } = box;
   const attempt: Attempt = { attemptId, asked: box.box, startedAtMs: nowMs, expectedMs };
   const sent = calls.reduce((now, { shardIndex, leaf }) => {
-    return openAttempt(now, { shardIndex, leafId: leaf.leafId, attempt });
+    const opened = openAttempt(now, { shardIndex, attempt });
+    return updateShard(opened, shardIndex, (shard) => {
+      return { ...shard, expectedOfBox: leaf.leafId };
+    });
   }, state);
   const relayed = calls.map(({ shardIndex, leaf }) => {
     return { service: state.shards[shardIndex]?.service ?? "", leafId: leaf.leafId };
@@ -233,7 +237,7 @@
   if (shard === undefined || shard.runs >= terms.maxAttempts || !hasTime) {
     return step(state);
   }
-  const leaf = world.chooseLeaf(shard.service, shard.asked);
+  const leaf = chooseAnother(shard, world);
   if (leaf === undefined) {
     return step(state);
   }
@@ -243,6 +247,18 @@
   return sendAttempt(state, { shardIndex, leaf, nowMs: world.nowMs });
 }
 
+/** Picks a leaf that was not asked; at last the one that another box was to ask and may not have. */
+function chooseAnother(
+  { service, asked, expectedOfBox }: ShardState,
+  world: RequestWorld,
+): LeafChoice | undefined {
+  if (expectedOfBox === undefined) {
+    return world.chooseLeaf(service, asked);
+  }
+  const another = world.chooseLeaf(service, new Set(asked).add(expectedOfBox));
+  return another ?? world.chooseLeaf(service, asked);
+}
+
 interface SentCall {
   readonly shardIndex: number;
   readonly leaf: LeafChoice;
@@ -253,7 +269,10 @@
   const attemptId = state.nextAttemptId;
   const { leafId, expectedMs } = leaf;
   const attempt: Attempt = { attemptId, asked: leafId, startedAtMs: nowMs, expectedMs };
-  const sent = openAttempt(state, { shardIndex, leafId, attempt });
+  const opened = openAttempt(state, { shardIndex, attempt });
+  const sent = updateShard(opened, shardIndex, (shard) => {
+    return { ...shard, asked: new Set(shard.asked).add(leafId) };
+  });
   const { deadlineAtMs } = state.terms;
   return step(
     { ...sent, nextAttemptId: attemptId + 1 },
@@ -263,17 +282,12 @@
 
 interface OpenedAttempt {
   readonly shardIndex: number;
-  readonly leafId: string;
   readonly attempt: Attempt;
 }
 
-function openAttempt(
-  state: RequestState,
-  { shardIndex, leafId, attempt }: OpenedAttempt,
-): RequestState {
+function openAttempt(state: RequestState, { shardIndex, attempt }: OpenedAttempt): RequestState {
   return updateShard(state, shardIndex, (shard) => ({
     ...shard,
-    asked: new Set(shard.asked).add(leafId),
     runs: shard.runs + 1,
     open: [...shard.open, attempt],
   }));
--- a/request/request_core_test.ts
+++ b/request/request_core_test.ts
@@ -36,6 +36,7 @@
   nowMs = 0;
   extraCalls: number;
   readonly far: boolean;
+  leafs: ReadonlyArray<string> = ["a", "b"];
 
   constructor(
     route: Route,
@@ -60,7 +61,8 @@
     const world: RequestWorld = {
       nowMs: this.nowMs,
       chooseLeaf: (service, excluded) => {
-        const leafId = [`${service}-a`, `${service}-b`].find((each) => !excluded.has(each));
+        const leafIds = this.leafs.map((leaf) => `${service}-${leaf}`);
+        const leafId = leafIds.find((each) => !excluded.has(each));
         const farRegion = this.far && leafId?.endsWith("-a") === true ? "south" : undefined;
         return leafId === undefined ? undefined : { leafId, expectedMs: 5, farRegion };
       },
@@ -252,3 +254,12 @@
   const parts = { signatures: new Map(), records: Buffer.alloc(0), declined: ["s2"] };
   t.same(calls(driver.take({ kind: "partsRelayed", attemptId: 1, parts })), ["s2-b"]);
 });
+
+t.test("the leaf that a box was to ask is asked directly where no other is left", async (t) => {
+  const driver = new Driver(GATHER, { far: true });
+  driver.leafs = ["a"];
+  t.same(calls(driver.end(1, { kind: "failed", sent: true, reason: "part is missing" })), [
+    "s1-a",
+    "s2-a",
+  ]);
+});
--- a/request/request_state.ts
+++ b/request/request_state.ts
@@ -58,6 +58,8 @@
   readonly service: string;
   /** Leafs asked so far; none is asked twice. */
   readonly asked: ReadonlySet<string>;
+  /** Leaf that another box was expected to ask; asked directly only where no other is left. */
+  readonly expectedOfBox: string | undefined;
   /** Attempts that may have run, those under way included. */
   readonly runs: number;
   readonly open: ReadonlyArray<Attempt>;
