--- /dev/null
+++ b/routing/route_table_test.ts
@@ -0,0 +1,38 @@
+import t from "tap";
+import type { Route } from "./configuration.js";
+import { findRoute, routeTable } from "./route_table.js";
+
+function route(name: string, host: string, prefix: string): Route {
+  return {
+    name,
+    host,
+    prefix,
+    repeatable: true,
+    timeoutMs: 1,
+    aimMs: 1,
+    priorityRank: 0,
+    maxAttempts: 1,
+    target: { kind: "single", services: [{ service: "s", weight: 1 }] },
+  };
+}
+
+const TABLE = routeTable({
+  version: 1,
+  routes: [route("short", "h.example", "/a/"), route("long", "h.example", "/a/b/")],
+  services: [],
+  callerLimits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+});
+
+t.test("findRoute() picks the longest prefix of the host", async (t) => {
+  t.equal(findRoute(TABLE, { host: "h.example", path: "/a/b/c" })?.name, "long");
+  t.equal(findRoute(TABLE, { host: "h.example", path: "/a/c" })?.name, "short");
+});
+
+t.test("findRoute() passes over port and case of the host", async (t) => {
+  t.equal(findRoute(TABLE, { host: "H.Example:80", path: "/a/" })?.name, "short");
+});
+
+t.test("findRoute() finds nothing on another host or path", async (t) => {
+  t.equal(findRoute(TABLE, { host: "other.example", path: "/a/" }), undefined);
+  t.equal(findRoute(TABLE, { host: "h.example", path: "/ab/" }), undefined);
+});
