Let policy programs decide requests of the box daemon; count calls to leafs by their end

Policies in a file (--policies): place, retry, refuse, limit and finish, by route or for all. They never add attempts to what a route allows; the compiler is loaded only where there is a file.

--- a/bin/rackvale_box.ts
+++ b/bin/rackvale_box.ts
@@ -4,14 +4,19 @@
  *
  * @module
  */
-import { Box, boxTelemetry } from "../box/mod.js";
+import { Box, boxTelemetry, readPolicies } from "../box/mod.js";
 import { readBoxSettings, SETTINGS_VARIABLE } from "../platform/mod.js";
 import { settingsOrExit } from "../settings/mod.js";
 
-const USAGE = "Usage: rackvale-box [--metrics-port PORT] [--metrics-path PATH]";
+const USAGE = "Usage: rackvale-box [--metrics-port PORT] [--metrics-path PATH] [--policies FILE]";
 
 const SPECS = {
   "metrics-port": { kind: "port", help: "Port of the metrics; 0 for none", fallback: "0" },
+  policies: {
+    kind: "text",
+    help: "JSON file with policy programs by route; empty for none",
+    fallback: "",
+  },
   "metrics-path": { kind: "text", help: "Path of the metrics", fallback: "/metrics" },
 } as const;
 
@@ -21,11 +26,17 @@
   process.stderr.write(`${settings.error.message}\n`);
   process.exit(2);
 }
+const policies = own.policies === "" ? undefined : await readPolicies(own.policies);
+if (policies?.isErr() === true) {
+  process.stderr.write(`${policies.error}\n`);
+  process.exit(2);
+}
 const telemetry = boxTelemetry(settings.value.box);
 const port = own["metrics-port"];
 const box = new Box({
   settings: settings.value,
   telemetry,
+  policies: policies?.isOk() === true ? policies.value : undefined,
   metrics: port === 0 ? undefined : { port, path: own["metrics-path"] },
   onEnd: () => process.exit(0),
 });
--- a/box/box_shell.ts
+++ b/box/box_shell.ts
@@ -35,6 +35,7 @@
 import { RelayCalls } from "./relay_calls.js";
 import { answerRelay, RELAY_PATH } from "./relay_server.js";
 import { type RequestAccount, RequestRunner } from "./request_runner.js";
+import { type Admission, type CompiledPolicies, RoutePolicies } from "./route_policies.js";
 
 /** Path at which peers hand over what they know. */
 const KNOWLEDGE_PATH = "/peer/v1/knowledge";
@@ -76,6 +77,8 @@
 export interface BoxOptions {
   readonly settings: BoxSettings;
   readonly telemetry: BoxTelemetry;
+  /** Operators' policy programs; nothing where the routes' own terms decide alone. */
+  readonly policies: CompiledPolicies | undefined;
   /** Where metrics are served; nothing for nowhere. */
   readonly metrics: { readonly port: number; readonly path: string } | undefined;
   /** Called when a planned stop is complete. */
@@ -93,6 +96,7 @@
   readonly #budgets: ExtraCallBudgets;
   readonly #runner: RequestRunner;
   readonly #fleet: FleetLink;
+  readonly #policies: RoutePolicies;
   readonly #callerServer: Server;
   readonly #servers: ReadonlyArray<{ readonly server: Server; readonly port: number }>;
   readonly #splits = new Map<string, SplitCredits>();
@@ -103,7 +107,7 @@
   /**
    * @param options - What the box is started with.
    */
-  constructor({ settings, telemetry, metrics, onEnd }: BoxOptions) {
+  constructor({ settings, telemetry, policies, metrics, onEnd }: BoxOptions) {
     this.#settings = settings;
     this.#telemetry = telemetry;
     this.#onEnd = onEnd;
@@ -117,7 +121,14 @@
         this.#calls.forgetUnknown((leafId) => this.#knowledge.leafs.byId.has(leafId));
       },
     });
-    this.#calls = new LeafCalls({ nowMs, connectionsTo: (service) => this.#connections(service) });
+    this.#policies = new RoutePolicies(policies, (policy, reason) => {
+      telemetry.event("warn", "policy: program failed, its default holds", { policy, reason });
+    });
+    this.#calls = new LeafCalls({
+      nowMs,
+      connectionsTo: (service) => this.#connections(service),
+      onEnd: (result) => telemetry.attempts.inc({ outcome: result }),
+    });
     this.#budgets = new ExtraCallBudgets({
       share: () => this.#settings.extraCallShare,
       slackCalls: () => this.#settings.extraCallSlack,
@@ -366,9 +377,24 @@
       answer({ kind: "noRoute" });
       return () => undefined;
     }
-    const terms = requestTerms(arrived, route);
+    const admission = this.#admit(arrived, route);
+    const terms = requestTerms(arrived, route, admission);
+    if (admission.refusal !== "") {
+      const { refusal, retryAfterMs } = admission;
+      this.#telemetry.requests.inc({ route: route.name, outcome: "refused" });
+      this.#telemetry.requestLine("request: refused by policy", {
+        requestId: terms.requestId,
+        route: route.name,
+        version: routes.configuration.version,
+        refusal,
+        retryAfterMs,
+      });
+      answer({ kind: "notRun", reason: refusal, retryAfterMs });
+      return () => undefined;
+    }
     const run = this.#runner.run({
       terms,
+      placement: admission.placement,
       services: this.#servicesOf(route),
       forwarded,
       onReply: (reply, account) => {
@@ -380,6 +406,17 @@
     return () => run.callerGone();
   }
 
+  #admit({ host, terms }: ArrivedRequest, route: Route): Admission {
+    return this.#policies.admit({
+      route,
+      caller: host,
+      waitMs: terms.waitMs ?? route.timeoutMs,
+      running: this.#runner.runningCount,
+      boxes: this.#countBoxes(),
+      nowMs: nowMs(),
+    });
+  }
+
   #servicesOf({ name, target }: Route): ReadonlyArray<string> {
     if (target.kind === "gather") {
       return target.shards;
@@ -521,6 +558,7 @@
 function requestTerms(
   { arrivedAtMs, opensConnection, terms }: ArrivedRequest,
   route: Route,
+  { maxAttempts, finishShare }: Admission,
 ): RequestTerms {
   const marginMs = ANSWER_MARGIN_MS + (opensConnection ? OPENING_MARGIN_MS : 0);
   const waitMs = Math.min(terms.waitMs ?? route.timeoutMs, route.timeoutMs);
@@ -531,7 +569,8 @@
     arrivedAtMs,
     deadlineAtMs: arrivedAtMs + Math.max(1, waitMs - marginMs),
     aimAtMs: arrivedAtMs + Math.max(1, aimMs - marginMs),
-    maxAttempts: route.maxAttempts,
+    maxAttempts,
+    finishShare,
   };
 }
 
--- a/box/leaf_calls.ts
+++ b/box/leaf_calls.ts
@@ -45,6 +45,8 @@
   readonly nowMs: () => number;
   /** Most connections of this box to a leaf of a service. */
   readonly connectionsTo: (service: string) => number;
+  /** Told how each call ended. */
+  readonly onEnd: (result: CallEnd["result"]) => void;
 }
 
 /** Time after its deadline at which a call is broken off, in milliseconds. */
@@ -107,6 +109,7 @@
         toldLoad,
       };
       this.#conditions.set(leafId, noteEnded(this.#conditionOf(leafId), end));
+      this.#options.onEnd(end.result);
       onEnd(outcome);
     });
     const abandon = (): void => handler.abandon();
--- a/box/leaf_calls_test.ts
+++ b/box/leaf_calls_test.ts
@@ -27,7 +27,11 @@
 }
 
 function makeCalls(connections = 2): LeafCalls {
-  return new LeafCalls({ nowMs: () => performance.now(), connectionsTo: () => connections });
+  return new LeafCalls({
+    nowMs: () => performance.now(),
+    connectionsTo: () => connections,
+    onEnd: () => undefined,
+  });
 }
 
 interface CallOptions {
--- a/box/mod.ts
+++ b/box/mod.ts
@@ -5,3 +5,4 @@
  */
 export * from "./box_shell.js";
 export * from "./box_telemetry.js";
+export * from "./route_policies.js";
--- a/box/request_runner.ts
+++ b/box/request_runner.ts
@@ -4,7 +4,13 @@
  * @module
  */
 import type { Step } from "../core/mod.js";
-import { chooseLeaf, type Distance, type Leaf, type LeafTable } from "../leafs/mod.js";
+import {
+  chooseLeaf,
+  type Distance,
+  type Leaf,
+  type LeafTable,
+  type Placement,
+} from "../leafs/mod.js";
 import type { ExtraCallKind } from "../limits/mod.js";
 import type { Member } from "../model/mod.js";
 import {
@@ -38,6 +44,7 @@
   /** One service for each shard. */
   readonly services: ReadonlyArray<string>;
   readonly forwarded: ForwardedRequest;
+  readonly placement: Placement;
   /** Told once, unless the caller goes. */
   readonly onReply: (reply: Reply, account: RequestAccount) => void;
   /** Told once when the caller goes before its answer. */
@@ -278,7 +285,8 @@
       nowMs,
       chooseLeaf: (service, excluded) => {
         const condition = (leafId: string) => calls.condition(leafId);
-        const view = { nowMs, condition, distance, excluded };
+        const { placement } = this.#options;
+        const view = { nowMs, condition, distance, excluded, placement };
         const chosen = chooseLeaf(leafs().byService.get(service) ?? [], view);
         if (chosen === undefined) {
           return undefined;
--- a/leafs/choose_leaf.ts
+++ b/leafs/choose_leaf.ts
@@ -16,6 +16,8 @@
   condition(leafId: string): LeafCondition | undefined;
   /** Tells how far a leaf is. */
   distance(leaf: Leaf): Distance;
+  /** How the service's policy places calls; least loaded by default. */
+  readonly placement?: Placement;
   /** Leafs that were asked already. */
   readonly excluded: ReadonlySet<string>;
 }
@@ -27,6 +29,16 @@
  */
 const DISTANCE_COST_MS: Readonly<Record<Distance, number>> = { zone: 0, region: 4, far: 100 };
 
+/** Ways to place calls: by expected time, near ones almost always, or whatever the distance. */
+export type Placement = "least-loaded" | "nearest" | "spread";
+
+/** What the cost of distance is multiplied by. */
+const DISTANCE_FACTORS: Readonly<Record<Placement, number>> = {
+  "least-loaded": 1,
+  nearest: 10,
+  spread: 0,
+};
+
 /** Expected time of a leaf that has not been asked, in milliseconds. */
 const UNKNOWN_MS: Readonly<Record<Distance, number>> = { zone: 15, region: 17, far: 45 };
 
@@ -73,7 +85,7 @@
     }
     const distance = view.distance(leaf);
     const usualMs = condition.meanMs === 0 ? UNKNOWN_MS[distance] : condition.meanMs;
-    const expectedMs = expectedTimeMs({ leaf, distance, usualMs }, condition, view.nowMs);
+    const expectedMs = expectedTimeMs({ leaf, distance, usualMs }, condition, view);
     if (expectedMs < bestMs) {
       best = { leaf, distance, usualMs };
       bestMs = expectedMs;
@@ -85,7 +97,7 @@
 function expectedTimeMs(
   { leaf, distance, usualMs }: ChosenLeaf,
   condition: LeafCondition,
-  nowMs: number,
+  { nowMs, placement = "least-loaded" }: ChoiceView,
 ): number {
   const warmMs = leaf.warmingForMs > 0 ? usualMs * WARMUP_FACTOR : usualMs;
   const toldShare = Math.max(0, 1 - (nowMs - condition.toldAtMs) / TOLD_LOAD_MS);
@@ -93,7 +105,8 @@
   const queuedMs = warmMs * Math.max(1, (load + 1) / leaf.slots);
   const silentMs = isSilent(condition, nowMs) ? SILENT_COST_MS : 0;
   const avoidMs = condition.avoidUntilMs > nowMs ? AVOID_COST_MS : 0;
-  return queuedMs + DISTANCE_COST_MS[distance] + silentMs + avoidMs;
+  const distanceMs = DISTANCE_COST_MS[distance] * DISTANCE_FACTORS[placement];
+  return queuedMs + distanceMs + silentMs + avoidMs;
 }
 
 /**
--- a/request/_judge.ts
+++ b/request/_judge.ts
@@ -23,7 +23,10 @@
 export function judgeRequest(state: RequestState): JudgedStep {
   const settled = state.partsIn + state.partsLost === state.shards.length;
   const { target } = state.terms.route;
-  const suffices = target.kind === "gather" && state.pastAim && hasLeastShare(state, target);
+  const suffices =
+    target.kind === "gather" &&
+    hasLeastShare(state, target) &&
+    (state.pastAim || state.partsIn >= state.terms.finishShare * state.shards.length);
   const hopeless = target.kind === "gather" && !canReachLeastShare(state, target);
   return settled || suffices || hopeless ? finish(state, finalReply(state)) : step(state);
 }
--- a/request/request_core_test.ts
+++ b/request/request_core_test.ts
@@ -29,6 +29,12 @@
 
 const UNREPEATABLE: Route = { ...SINGLE, repeatable: false };
 
+interface DriverOptions {
+  readonly extraCalls?: number;
+  readonly far?: boolean;
+  readonly finishShare?: number;
+}
+
 /** Drives one request: leafs are `<service>-a` and `<service>-b`, extra calls as many as told. */
 class Driver {
   state: RequestState;
@@ -38,10 +44,7 @@
   readonly far: boolean;
   leafs: ReadonlyArray<string> = ["a", "b"];
 
-  constructor(
-    route: Route,
-    { extraCalls = 10, far = false }: { readonly extraCalls?: number; readonly far?: boolean } = {},
-  ) {
+  constructor(route: Route, { extraCalls = 10, far = false, finishShare = 1 }: DriverOptions = {}) {
     this.extraCalls = extraCalls;
     this.far = far;
     const terms = {
@@ -51,6 +54,7 @@
       deadlineAtMs: 1_000,
       aimAtMs: 100,
       maxAttempts: route.maxAttempts,
+      finishShare,
     };
     const { target } = route;
     this.state = newRequest(terms, target.kind === "gather" ? target.shards : ["s1"]);
@@ -263,3 +267,8 @@
     "s2-a",
   ]);
 });
+
+t.test("a policy's share of the parts ends the wait before the aim", async (t) => {
+  const driver = new Driver(GATHER, { finishShare: 0.5 });
+  t.match(replyOf(driver.end(1, answered(200, "x"))), { kind: "merged", missingParts: 1 });
+});
--- a/request/request_state.ts
+++ b/request/request_state.ts
@@ -84,6 +84,8 @@
   readonly aimAtMs: number;
   /** Attempts for each shard, as policy and route allow. */
   readonly maxAttempts: number;
+  /** Share of the parts, 0 to 1, with which the answer is given without waiting for more. */
+  readonly finishShare: number;
 }
 
 /** Everything known of a request. */
