--- a/box/box_knowledge.ts
+++ b/box/box_knowledge.ts
@@ -22,6 +22,7 @@
 } from "../platform/mod.js";
 import { type Configuration, type RouteTable, routeTable } from "../routing/mod.js";
 import type { BoxTelemetry } from "./box_telemetry.js";
+import type { Progress } from "./fleet_link.js";
 import { type RegistryListener, RegistryWatch } from "./registry_watch.js";
 
 /**
@@ -128,6 +129,14 @@
     return this.#leafsRevision;
   }
 
+  /** How far this box is with what lasts in the store. */
+  get progress(): Progress {
+    return {
+      configurationVersion: this.#routes?.configuration.version ?? 0,
+      leafsRevision: this.#leafsRevision,
+    };
+  }
+
   /** When the store was last heard, on this box's clock; minus infinity before the first time. */
   get heardAtMs(): number {
     return this.#heardAtMs;
--- a/box/box_shell.ts
+++ b/box/box_shell.ts
@@ -4,9 +4,8 @@
  * @module
  */
 import { randomUUID } from "node:crypto";
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import { request as httpRequest } from "undici";
-import type { Distance, Leaf, LeafTable } from "../leafs/mod.js";
+import type { Server } from "node:http";
+import type { Distance, Leaf } from "../leafs/mod.js";
 import {
   type Lifecycle,
   type LifecycleEvent,
@@ -15,30 +14,20 @@
   NEW_LIFECYCLE,
 } from "../lifecycle/mod.js";
 import type { Member } from "../model/mod.js";
-import {
-  type BoxSettings,
-  decodeResolve,
-  encodeAdvice,
-  READY_PATH,
-  type ResolveQuestion,
-  StoreClient,
-} from "../platform/mod.js";
-import type { Reply, RequestTerms } from "../request/mod.js";
-import { findRoute, type Route, type SplitCredits, splitService } from "../routing/mod.js";
+import { type BoxSettings, type SocketAddress, StoreClient } from "../platform/mod.js";
 import { listen } from "./_listen.js";
-import { BoxKnowledge, type SharedKnowledge } from "./box_knowledge.js";
-import type { BoxTelemetry, LogFields } from "./box_telemetry.js";
-import { type AnswerCall, type ArrivedRequest, callerServer } from "./caller_server.js";
+import { BoxKnowledge } from "./box_knowledge.js";
+import type { BoxTelemetry } from "./box_telemetry.js";
+import { callerServer } from "./caller_server.js";
 import { ExtraCallBudgets } from "./extra_call_budgets.js";
-import { FleetLink, type Progress } from "./fleet_link.js";
+import { FleetLink } from "./fleet_link.js";
 import { LeafCalls } from "./leaf_calls.js";
+import { PeerCatchUp } from "./peer_catch_up.js";
 import { RelayCalls } from "./relay_calls.js";
-import { answerRelay, RELAY_PATH } from "./relay_server.js";
-import { type RequestAccount, RequestRunner } from "./request_runner.js";
-import { type Admission, type CompiledPolicies, RoutePolicies } from "./route_policies.js";
-
-/** Path at which peers hand over what they know. */
-const KNOWLEDGE_PATH = "/peer/v1/knowledge";
+import { RequestIntake } from "./request_intake.js";
+import { RequestRunner } from "./request_runner.js";
+import { type CompiledPolicies, RoutePolicies } from "./route_policies.js";
+import { type MetricsPlace, type ServerAtPort, sideServers } from "./side_servers.js";
 
 /** Time that callers may keep an answer of the directory, in milliseconds; at most the setting. */
 const KEEP_MS = 5_000;
@@ -52,12 +41,6 @@
 /** Time between two looks at what is overdue, in milliseconds. */
 const TIDY_EVERY_MS = 200;
 
-/** Part of a request's time kept back for its way through this box and to the caller, in milliseconds. */
-const ANSWER_MARGIN_MS = 14;
-
-/** Kept back besides for a request that opened its connection: the caller waited for that too. */
-const OPENING_MARGIN_MS = 20;
-
 /** Bodies taken before a configuration sets the limit, in bytes. */
 const DEFAULT_MAX_BODY_BYTES = 262_144;
 
@@ -67,12 +50,6 @@
 /** Most connections of one box to a leaf; more than this are never needed at its few slots. */
 const MOST_CONNECTIONS = 8;
 
-/** Time that a peer has to hand over what it knows, in milliseconds. */
-const PEER_ANSWER_MS = 1_000;
-
-/** When a caller may ask again while no configuration is known, in milliseconds. */
-const STARTING_RETRY_MS = 300;
-
 /** What a box is started with. */
 export interface BoxOptions {
   readonly settings: BoxSettings;
@@ -80,7 +57,7 @@
   /** Operators' policy programs; nothing where the routes' own terms decide alone. */
   readonly policies: CompiledPolicies | undefined;
   /** Where metrics are served; nothing for nowhere. */
-  readonly metrics: { readonly port: number; readonly path: string } | undefined;
+  readonly metrics: MetricsPlace | undefined;
   /** Called when a planned stop is complete. */
   readonly onEnd: () => void;
 }
@@ -96,12 +73,10 @@
   readonly #budgets: ExtraCallBudgets;
   readonly #runner: RequestRunner;
   readonly #fleet: FleetLink;
-  readonly #policies: RoutePolicies;
   readonly #callerServer: Server;
-  readonly #servers: ReadonlyArray<{ readonly server: Server; readonly port: number }>;
-  readonly #splits = new Map<string, SplitCredits>();
+  readonly #servers: ReadonlyArray<ServerAtPort>;
   #lifecycle: Lifecycle = NEW_LIFECYCLE;
-  #fetching = false;
+  #stopping = false;
   #tidyTimer: NodeJS.Timeout | undefined;
 
   /**
@@ -121,9 +96,6 @@
         this.#calls.forgetUnknown((leafId) => this.#knowledge.leafs.byId.has(leafId));
       },
     });
-    this.#policies = new RoutePolicies(policies, (policy, reason) => {
-      telemetry.event("warn", "policy: program failed, its default holds", { policy, reason });
-    });
     this.#calls = new LeafCalls({
       nowMs,
       connectionsTo: (service) => this.#connections(service),
@@ -149,18 +121,29 @@
         return allowed;
       },
     });
+    const catchUp = new PeerCatchUp({ box: settings.box, knowledge: this.#knowledge, telemetry });
     this.#fleet = new FleetLink({
       self: this.#self(),
       seeds: () => this.#seedAddresses(),
       port: settings.datagramPort,
       nowMs,
-      progress: () => this.#progress(),
-      onProgress: (member, progress) => this.#compare(member, progress),
+      progress: () => this.#knowledge.progress,
+      onProgress: (member, progress) => catchUp.compare(member, progress),
       onMember: ({ box, state, incarnation }) => {
         telemetry.event("info", "fleet: box changed", { member: box, state, incarnation });
       },
       onFault: (message) => telemetry.event("warn", "fleet: fault", { reason: message }),
     });
+    const intake = new RequestIntake({
+      nowMs,
+      knowledge: this.#knowledge,
+      telemetry,
+      runner: this.#runner,
+      policies: new RoutePolicies(policies, (policy, reason) => {
+        telemetry.event("warn", "policy: program failed, its default holds", { policy, reason });
+      }),
+      countBoxes: () => this.#countBoxes(),
+    });
     this.#callerServer = callerServer({
       nowMs,
       maxBodyBytes: () => {
@@ -168,11 +151,26 @@
         return limits?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES;
       },
       isLeaving: () => lifecyclePhase(this.#lifecycle) !== "ready",
-      onRequest: (arrived, answer) => this.#take(arrived, answer),
+      onRequest: (arrived, answer) => intake.take(arrived, answer),
     });
     this.#servers = [
       { server: this.#callerServer, port: settings.callers.port },
-      ...this.#sideServers(metrics),
+      ...sideServers({
+        settings,
+        isReady: () => lifecyclePhase(this.#lifecycle) === "ready",
+        advise: (region) => this.#advise(region),
+        keepMs: () => Math.min(KEEP_MS, this.#settings.mostKeepMs),
+        share: () => this.#knowledge.share(),
+        relay: {
+          nowMs,
+          calls: this.#calls,
+          leafs: () => this.#knowledge.leafs,
+          distance: (leaf) => this.#distance(leaf),
+          onParts: (count) => telemetry.relayedParts.inc(count),
+        },
+        metrics,
+        metricsText: () => telemetry.metricsText(),
+      }),
     ];
   }
 
@@ -202,9 +200,10 @@
 
   /** Begins a planned stop: no longer advised, serves on, finishes what it took, ends. */
   stop(): void {
-    if (lifecyclePhase(this.#lifecycle) === "leaving") {
+    if (this.#stopping) {
       return;
     }
+    this.#stopping = true;
     this.#move("stopRequested");
     this.#fleet.declare("leaving");
     const { stopGraceMs } = this.#settings;
@@ -281,49 +280,6 @@
     return seeds.map(({ address }) => address).filter((address) => address !== own);
   }
 
-  #progress(): Progress {
-    return {
-      configurationVersion: this.#knowledge.routes?.configuration.version ?? 0,
-      leafsRevision: this.#knowledge.leafsRevision,
-    };
-  }
-
-  /** Fetches from a peer what it knows and this box does not. */
-  #compare(member: Member, progress: Progress): void {
-    const own = this.#progress();
-    const isAhead =
-      progress.configurationVersion > own.configurationVersion ||
-      progress.leafsRevision > own.leafsRevision;
-    if (!isAhead || this.#fetching || member.memberId === this.#settings.box) {
-      return;
-    }
-    this.#fetching = true;
-    // The store's own news is usually under way; a peer is asked where it has not come by then.
-    setTimeout(() => {
-      const now = this.#progress();
-      const isStillAhead =
-        progress.configurationVersion > now.configurationVersion ||
-        progress.leafsRevision > now.leafsRevision;
-      void (isStillAhead ? this.#fetchFrom(member) : Promise.resolve()).finally(() => {
-        this.#fetching = false;
-      });
-    }, PEER_WAIT_MS);
-  }
-
-  async #fetchFrom(member: Member): Promise<void> {
-    const { address, peerPort, box } = member;
-    try {
-      const answer = await httpRequest(`http://${address}:${peerPort}${KNOWLEDGE_PATH}`, {
-        signal: AbortSignal.timeout(PEER_ANSWER_MS),
-      });
-      this.#knowledge.takeOver((await answer.body.json()) as SharedKnowledge);
-      this.#telemetry.event("info", "fleet: took over from peer", { member: box });
-    } catch (error) {
-      const reason = (error as Error).message;
-      this.#telemetry.event("warn", "fleet: cannot take over from peer", { member: box, reason });
-    }
-  }
-
   #countBoxes(): number {
     const present = this.#fleet.members().filter(({ state }) => state !== "dead");
     return Math.max(this.#settings.seeds.length, present.length);
@@ -351,174 +307,6 @@
     this.#telemetry.storeCalls.set(this.#store.calls);
   }
 
-  #take(arrived: ArrivedRequest, answer: AnswerCall): () => void {
-    const routes = this.#knowledge.routes;
-    if (routes === undefined) {
-      this.#telemetry.requestLine("request: not run, no configuration yet", {
-        requestId: arrived.terms.requestId,
-        hearsStore: this.#knowledge.hearsStore,
-      });
-      answer({
-        kind: "notRun",
-        reason: "no configuration is known yet",
-        retryAfterMs: STARTING_RETRY_MS,
-      });
-      return () => undefined;
-    }
-    const { host, forwarded } = arrived;
-    const route = findRoute(routes, { host, path: forwarded.path });
-    if (route === undefined) {
-      this.#telemetry.requestLine("request: no route", {
-        requestId: arrived.terms.requestId,
-        host,
-        path: forwarded.path,
-        version: routes.configuration.version,
-      });
-      answer({ kind: "noRoute" });
-      return () => undefined;
-    }
-    const admission = this.#admit(arrived, route);
-    const terms = requestTerms(arrived, route, admission);
-    if (admission.refusal !== "") {
-      const { refusal, retryAfterMs } = admission;
-      this.#telemetry.requests.inc({ route: route.name, outcome: "refused" });
-      this.#telemetry.requestLine("request: refused by policy", {
-        requestId: terms.requestId,
-        route: route.name,
-        version: routes.configuration.version,
-        refusal,
-        retryAfterMs,
-      });
-      answer({ kind: "notRun", reason: refusal, retryAfterMs });
-      return () => undefined;
-    }
-    const run = this.#runner.run({
-      terms,
-      placement: admission.placement,
-      services: this.#servicesOf(route),
-      forwarded,
-      onReply: (reply, account) => {
-        answer(reply);
-        this.#tell(reply, account, routes.configuration.version);
-      },
-      onGone: (account) => this.#tellGone(account, routes.configuration.version),
-    });
-    return () => run.callerGone();
-  }
-
-  #admit({ host, terms }: ArrivedRequest, route: Route): Admission {
-    return this.#policies.admit({
-      route,
-      caller: host,
-      waitMs: terms.waitMs ?? route.timeoutMs,
-      running: this.#runner.runningCount,
-      boxes: this.#countBoxes(),
-      nowMs: nowMs(),
-    });
-  }
-
-  #servicesOf({ name, target }: Route): ReadonlyArray<string> {
-    if (target.kind === "gather") {
-      return target.shards;
-    }
-    const { service, credits } = splitService(target.services, this.#splits.get(name) ?? new Map());
-    this.#splits.set(name, credits);
-    return [service];
-  }
-
-  #tellGone(account: RequestAccount, version: number): void {
-    const route = account.state.terms.route.name;
-    this.#telemetry.requests.inc({ route, outcome: "callerGone" });
-    this.#telemetry.requestLine("request: caller gone", this.#accountFields(account, version));
-  }
-
-  #tell(reply: Reply, account: RequestAccount, version: number): void {
-    const { terms } = account.state;
-    const tookMs = Math.round(nowMs() - terms.arrivedAtMs);
-    const route = terms.route.name;
-    this.#telemetry.requests.inc({ route, outcome: reply.kind });
-    this.#telemetry.requestMs.observe({ route }, tookMs);
-    this.#telemetry.requestLine("request: answered", {
-      outcome: reply.kind,
-      ...(reply.kind === "failed" || reply.kind === "notRun" ? { reason: reply.reason } : {}),
-      ...(reply.kind === "passed" ? { statusCode: reply.answer.statusCode } : {}),
-      ...this.#accountFields(account, version),
-    });
-  }
-
-  /** What decided a request, with the age of what the box knew. */
-  #accountFields({ state, notes }: RequestAccount, version: number): LogFields {
-    const { terms, shards, partsIn, partsLost, nextAttemptId } = state;
-    const now = nowMs();
-    return {
-      requestId: terms.requestId,
-      route: terms.route.name,
-      version,
-      leafsRevision: this.#knowledge.leafsRevision,
-      knownAgoMs: Math.round(now - this.#knowledge.heardAtMs),
-      tookMs: Math.round(now - terms.arrivedAtMs),
-      leftMs: Math.round(terms.deadlineAtMs - now),
-      shards: shards.length,
-      partsIn,
-      partsLost,
-      attempts: nextAttemptId - 1,
-      notes,
-      open: shards.flatMap(({ service, open }) => {
-        return open.map(({ asked }) => `${service} at ${asked}`);
-      }),
-    };
-  }
-
-  #sideServers(
-    metrics: BoxOptions["metrics"],
-  ): ReadonlyArray<{ readonly server: Server; readonly port: number }> {
-    const { readiness, directory, peers } = this.#settings;
-    const servers = [
-      { port: readiness.port, answer: this.#answerReadiness },
-      { port: directory.port, answer: this.#answerDirectory },
-      { port: peers.port, answer: this.#answerPeer },
-      ...(metrics === undefined
-        ? []
-        : [{ port: metrics.port, answer: this.#answerMetrics(metrics.path) }]),
-    ];
-    return servers.map(({ port, answer }) => ({ port, server: createServer(answer) }));
-  }
-
-  readonly #answerReadiness = (request: IncomingMessage, response: ServerResponse): void => {
-    const ready = lifecyclePhase(this.#lifecycle) === "ready";
-    if (request.url?.startsWith(READY_PATH) !== true) {
-      writeText(response, 404, "");
-      return;
-    }
-    writeText(response, ready ? 200 : 503, "");
-  };
-
-  readonly #answerDirectory = (request: IncomingMessage, response: ServerResponse): void => {
-    const question = decodeResolve(request.url ?? "/");
-    if (question === undefined) {
-      writeText(response, 404, "");
-      return;
-    }
-    const keepMs = Math.min(KEEP_MS, this.#settings.mostKeepMs);
-    const body = encodeAdvice(this.#advise(question), { keepMs });
-    response.writeHead(200, {
-      "Content-Type": "application/json",
-      "Content-Length": Buffer.byteLength(body),
-    });
-    response.end(body);
-  };
-
-  /** Boxes in the caller's region; all, where none of them can be given work. */
-  #advise({ region }: ResolveQuestion): ReadonlyArray<{
-    readonly address: string;
-    readonly port: number;
-  }> {
-    const near = this.#boxesIn(region);
-    return (near.length > 0 ? near : this.#fleet.alive()).map(({ address, callerPort }) => {
-      return { address, port: callerPort };
-    });
-  }
-
   /** Boxes of a region that can be given work. */
   #boxesIn(region: string): ReadonlyArray<Member> {
     return this.#fleet.alive().filter(({ dataCentre }) => {
@@ -526,59 +314,15 @@
     });
   }
 
-  readonly #answerPeer = (request: IncomingMessage, response: ServerResponse): void => {
-    if (request.url === RELAY_PATH) {
-      const leafs = (): LeafTable => this.#knowledge.leafs;
-      const distance = (leaf: Leaf): Distance => this.#distance(leaf);
-      const onParts = (count: number): void => this.#telemetry.relayedParts.inc(count);
-      answerRelay(request, response, { nowMs, calls: this.#calls, leafs, distance, onParts });
-      return;
-    }
-    if (request.url !== KNOWLEDGE_PATH) {
-      writeText(response, 404, "");
-      return;
-    }
-    writeText(response, 200, JSON.stringify(this.#knowledge.share()));
-  };
-
-  #answerMetrics(path: string): (request: IncomingMessage, response: ServerResponse) => void {
-    return (request, response) => {
-      if (request.url !== path) {
-        writeText(response, 404, "");
-        return;
-      }
-      void this.#telemetry.metricsText().then((text) => writeText(response, 200, text));
-    };
+  /** Addresses of the boxes in the caller's region; of all, where none there can be given work. */
+  #advise(region: string): ReadonlyArray<SocketAddress> {
+    const near = this.#boxesIn(region);
+    return (near.length > 0 ? near : this.#fleet.alive()).map(({ address, callerPort }) => {
+      return { address, port: callerPort };
+    });
   }
 }
 
-/** Time that the store's own news has to come before a peer is asked, in milliseconds. */
-const PEER_WAIT_MS = 600;
-
-function requestTerms(
-  { arrivedAtMs, opensConnection, terms }: ArrivedRequest,
-  route: Route,
-  { maxAttempts, finishShare }: Admission,
-): RequestTerms {
-  const marginMs = ANSWER_MARGIN_MS + (opensConnection ? OPENING_MARGIN_MS : 0);
-  const waitMs = Math.min(terms.waitMs ?? route.timeoutMs, route.timeoutMs);
-  const aimMs = Math.min(route.aimMs, waitMs);
-  return {
-    requestId: terms.requestId,
-    route,
-    arrivedAtMs,
-    deadlineAtMs: arrivedAtMs + Math.max(1, waitMs - marginMs),
-    aimAtMs: arrivedAtMs + Math.max(1, aimMs - marginMs),
-    maxAttempts,
-    finishShare,
-  };
-}
-
-function writeText(response: ServerResponse, statusCode: number, text: string): void {
-  response.writeHead(statusCode, { "Content-Length": Buffer.byteLength(text) });
-  response.end(text);
-}
-
 function nowMs(): number {
   return performance.now();
 }
--- /dev/null
+++ b/box/peer_catch_up.ts
@@ -0,0 +1,83 @@
+/**
+ * Takes over from peers what the store has not told this box yet.
+ *
+ * @module
+ */
+import { request } from "undici";
+import type { Member } from "../model/mod.js";
+import type { BoxKnowledge, SharedKnowledge } from "./box_knowledge.js";
+import type { BoxTelemetry } from "./box_telemetry.js";
+import type { Progress } from "./fleet_link.js";
+
+/** Path at which peers hand over what they know. */
+export const KNOWLEDGE_PATH = "/peer/v1/knowledge";
+
+/** Time that a peer has to hand over what it knows, in milliseconds. */
+const PEER_ANSWER_MS = 1_000;
+
+/** Time that the store's own news has to come before a peer is asked, in milliseconds. */
+const PEER_WAIT_MS = 600;
+
+/** What catching up works on. */
+export interface PeerCatchUpOptions {
+  /** Name of this box. */
+  readonly box: string;
+  readonly knowledge: BoxKnowledge;
+  readonly telemetry: BoxTelemetry;
+}
+
+/** Fetches from peers that are ahead, one at a time. */
+export class PeerCatchUp {
+  readonly #options: PeerCatchUpOptions;
+  #fetching = false;
+
+  /**
+   * @param options - What catching up works on.
+   */
+  constructor(options: PeerCatchUpOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Compares how far a peer is with how far this box is, and fetches where it stays behind.
+   *
+   * @param member - The peer.
+   * @param progress - How far it is.
+   */
+  compare(member: Member, progress: Progress): void {
+    const { box, knowledge } = this.#options;
+    if (this.#fetching || member.memberId === box || !isAhead(progress, knowledge.progress)) {
+      return;
+    }
+    this.#fetching = true;
+    // The store's own news is usually under way; a peer is asked where it has not come by then.
+    setTimeout(() => {
+      const fetched = isAhead(progress, knowledge.progress)
+        ? this.#fetchFrom(member)
+        : Promise.resolve();
+      void fetched.finally(() => {
+        this.#fetching = false;
+      });
+    }, PEER_WAIT_MS);
+  }
+
+  async #fetchFrom({ address, peerPort, box }: Member): Promise<void> {
+    const { knowledge, telemetry } = this.#options;
+    try {
+      const answer = await request(`http://${address}:${peerPort}${KNOWLEDGE_PATH}`, {
+        signal: AbortSignal.timeout(PEER_ANSWER_MS),
+      });
+      knowledge.takeOver((await answer.body.json()) as SharedKnowledge);
+      telemetry.event("info", "fleet: took over from peer", { member: box });
+    } catch (error) {
+      const reason = (error as Error).message;
+      telemetry.event("warn", "fleet: cannot take over from peer", { member: box, reason });
+    }
+  }
+}
+
+function isAhead(peer: Progress, own: Progress): boolean {
+  return (
+    peer.configurationVersion > own.configurationVersion || peer.leafsRevision > own.leafsRevision
+  );
+}
--- /dev/null
+++ b/box/request_intake.ts
@@ -0,0 +1,169 @@
+/**
+ * Takes callers' requests: finds the route, asks the policy, has the request run, and writes the log
+ * line of what was decided.
+ *
+ * @module
+ */
+import type { Reply } from "../request/mod.js";
+import { findRoute, type Route, type SplitCredits, splitService } from "../routing/mod.js";
+import type { BoxKnowledge } from "./box_knowledge.js";
+import type { BoxTelemetry, LogFields } from "./box_telemetry.js";
+import type { AnswerCall, ArrivedRequest } from "./caller_server.js";
+import type { RequestAccount, RequestRunner } from "./request_runner.js";
+import { requestTerms } from "./request_terms.js";
+import type { Admission, RoutePolicies } from "./route_policies.js";
+
+/** When a caller may ask again while no configuration is known, in milliseconds. */
+const STARTING_RETRY_MS = 300;
+
+/** What taking requests works on. */
+export interface RequestIntakeOptions {
+  readonly nowMs: () => number;
+  readonly knowledge: BoxKnowledge;
+  readonly telemetry: BoxTelemetry;
+  readonly runner: RequestRunner;
+  readonly policies: RoutePolicies;
+  /** Tells how many boxes share what is limited. */
+  readonly countBoxes: () => number;
+}
+
+/** Takes requests. */
+export class RequestIntake {
+  readonly #options: RequestIntakeOptions;
+  readonly #splits = new Map<string, SplitCredits>();
+
+  /**
+   * @param options - What taking requests works on.
+   */
+  constructor(options: RequestIntakeOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Takes a request.
+   *
+   * @param arrived - The request, read whole.
+   * @param answer - Called once with the reply, unless the caller goes.
+   * @returns To be called when the caller goes before its answer.
+   */
+  take(arrived: ArrivedRequest, answer: AnswerCall): () => void {
+    const routes = this.#options.knowledge.routes;
+    if (routes === undefined) {
+      this.#options.telemetry.requestLine("request: not run, no configuration yet", {
+        requestId: arrived.terms.requestId,
+        hearsStore: this.#options.knowledge.hearsStore,
+      });
+      answer({
+        kind: "notRun",
+        reason: "no configuration is known yet",
+        retryAfterMs: STARTING_RETRY_MS,
+      });
+      return () => undefined;
+    }
+    const { host, forwarded } = arrived;
+    const route = findRoute(routes, { host, path: forwarded.path });
+    if (route === undefined) {
+      this.#options.telemetry.requestLine("request: no route", {
+        requestId: arrived.terms.requestId,
+        host,
+        path: forwarded.path,
+        version: routes.configuration.version,
+      });
+      answer({ kind: "noRoute" });
+      return () => undefined;
+    }
+    const admission = this.#admit(arrived, route);
+    const terms = requestTerms(arrived, route, admission);
+    if (admission.refusal !== "") {
+      const { refusal, retryAfterMs } = admission;
+      this.#options.telemetry.requests.inc({ route: route.name, outcome: "refused" });
+      this.#options.telemetry.requestLine("request: refused by policy", {
+        requestId: terms.requestId,
+        route: route.name,
+        version: routes.configuration.version,
+        refusal,
+        retryAfterMs,
+      });
+      answer({ kind: "notRun", reason: refusal, retryAfterMs });
+      return () => undefined;
+    }
+    const run = this.#options.runner.run({
+      terms,
+      placement: admission.placement,
+      services: this.#servicesOf(route),
+      forwarded,
+      onReply: (reply, account) => {
+        answer(reply);
+        this.#tell(reply, account, routes.configuration.version);
+      },
+      onGone: (account) => this.#tellGone(account, routes.configuration.version),
+    });
+    return () => run.callerGone();
+  }
+
+  #admit({ host, terms }: ArrivedRequest, route: Route): Admission {
+    return this.#options.policies.admit({
+      route,
+      caller: host,
+      waitMs: terms.waitMs ?? route.timeoutMs,
+      running: this.#options.runner.runningCount,
+      boxes: this.#options.countBoxes(),
+      nowMs: this.#options.nowMs(),
+    });
+  }
+
+  #servicesOf({ name, target }: Route): ReadonlyArray<string> {
+    if (target.kind === "gather") {
+      return target.shards;
+    }
+    const { service, credits } = splitService(target.services, this.#splits.get(name) ?? new Map());
+    this.#splits.set(name, credits);
+    return [service];
+  }
+
+  #tellGone(account: RequestAccount, version: number): void {
+    const route = account.state.terms.route.name;
+    this.#options.telemetry.requests.inc({ route, outcome: "callerGone" });
+    this.#options.telemetry.requestLine(
+      "request: caller gone",
+      this.#accountFields(account, version),
+    );
+  }
+
+  #tell(reply: Reply, account: RequestAccount, version: number): void {
+    const { terms } = account.state;
+    const tookMs = Math.round(this.#options.nowMs() - terms.arrivedAtMs);
+    const route = terms.route.name;
+    this.#options.telemetry.requests.inc({ route, outcome: reply.kind });
+    this.#options.telemetry.requestMs.observe({ route }, tookMs);
+    this.#options.telemetry.requestLine("request: answered", {
+      outcome: reply.kind,
+      ...(reply.kind === "failed" || reply.kind === "notRun" ? { reason: reply.reason } : {}),
+      ...(reply.kind === "passed" ? { statusCode: reply.answer.statusCode } : {}),
+      ...this.#accountFields(account, version),
+    });
+  }
+
+  /** What decided a request, with the age of what the box knew. */
+  #accountFields({ state, notes }: RequestAccount, version: number): LogFields {
+    const { terms, shards, partsIn, partsLost, nextAttemptId } = state;
+    const now = this.#options.nowMs();
+    return {
+      requestId: terms.requestId,
+      route: terms.route.name,
+      version,
+      leafsRevision: this.#options.knowledge.leafsRevision,
+      knownAgoMs: Math.round(now - this.#options.knowledge.heardAtMs),
+      tookMs: Math.round(now - terms.arrivedAtMs),
+      leftMs: Math.round(terms.deadlineAtMs - now),
+      shards: shards.length,
+      partsIn,
+      partsLost,
+      attempts: nextAttemptId - 1,
+      notes,
+      open: shards.flatMap(({ service, open }) => {
+        return open.map(({ asked }) => `${service} at ${asked}`);
+      }),
+    };
+  }
+}
--- /dev/null
+++ b/box/request_terms_test.ts
@@ -0,0 +1,50 @@
+import t from "tap";
+import type { Route } from "../routing/mod.js";
+import type { ArrivedRequest } from "./caller_server.js";
+import { requestTerms } from "./request_terms.js";
+
+const ROUTE: Route = {
+  name: "r",
+  host: "h",
+  prefix: "/",
+  repeatable: true,
+  timeoutMs: 1_000,
+  aimMs: 200,
+  priorityRank: 0,
+  maxAttempts: 2,
+  target: { kind: "single", services: [{ service: "s", weight: 1 }] },
+};
+
+const ADMISSION = { maxAttempts: 2, finishShare: 1 };
+
+function arrived(waitMs: number | undefined, opensConnection = false): ArrivedRequest {
+  return {
+    arrivedAtMs: 5_000,
+    opensConnection,
+    host: "h",
+    terms: { requestId: "r1", waitMs },
+    forwarded: { method: "GET", path: "/", headers: [], body: undefined },
+  };
+}
+
+t.test(
+  "requestTerms() keeps to the earlier of the caller's deadline and the timeout",
+  async (t) => {
+    const byRoute = requestTerms(arrived(6_000), ROUTE, ADMISSION);
+    t.ok(byRoute.deadlineAtMs < 6_000 && byRoute.deadlineAtMs > 5_900);
+    const byCaller = requestTerms(arrived(500), ROUTE, ADMISSION);
+    t.ok(byCaller.deadlineAtMs < 5_500 && byCaller.deadlineAtMs > 5_400);
+    t.same(requestTerms(arrived(undefined), ROUTE, ADMISSION), byRoute);
+  },
+);
+
+t.test("requestTerms() answers earlier on a new connection, whose opening took time", async (t) => {
+  const kept = requestTerms(arrived(1_000), ROUTE, ADMISSION);
+  const opened = requestTerms(arrived(1_000, true), ROUTE, ADMISSION);
+  t.ok(opened.aimAtMs < kept.aimAtMs && kept.aimAtMs < 5_200);
+});
+
+t.test("requestTerms() leaves a moment even where hardly any time is left", async (t) => {
+  const late = requestTerms(arrived(1), ROUTE, ADMISSION);
+  t.equal(late.deadlineAtMs, 5_001);
+});
