Log the loss of a box that this box saw itself

Cause, found while writing the page on failures: only news from others was logged, so a box that died with a request left no line anywhere. box_fleet_test waits for the line now (red before: it would time out).

--- a/box/fleet_link.ts
+++ b/box/fleet_link.ts
@@ -119,12 +119,14 @@
 
   #askNext(): void {
     const { nowMs, seeds } = this.#options;
+    const before = this.#membership;
     const silent = this.#asked;
     if (silent !== undefined) {
       this.#membership = suspectMember(this.#membership, silent.memberId, { nowMs: nowMs() });
       this.#asked = undefined;
     }
     this.#membership = ageMembers(this.#membership, { nowMs: nowMs() });
+    this.#tellChanges(before);
     const candidates = [...this.#membership.records.values()]
       .map(({ member }) => member)
       .filter(({ state }) => state !== "dead");
@@ -145,6 +147,18 @@
     this.#asked = { number, memberId: chosen.memberId };
   }
 
+  /** Tells of members whose state this box has changed by itself. */
+  #tellChanges(before: Membership): void {
+    if (before.records === this.#membership.records) {
+      return;
+    }
+    for (const { member } of this.#membership.records.values()) {
+      if (before.records.get(member.memberId)?.member.state !== member.state) {
+        this.#options.onMember(member);
+      }
+    }
+  }
+
   #ask(address: string, { number }: { readonly number?: number } = {}): number {
     if (number === undefined) {
       this.#number += 1;
--- a/cli/explain_command.ts
+++ b/cli/explain_command.ts
@@ -96,7 +96,7 @@
   }
   const explained = explainRequest(requestId, lines);
   if (explained.length === 0) {
-    const text = `Cannot explain "${requestId}": no line of these logs names it`;
+    const text = `Cannot explain "${requestId}": no line of these logs names it; look for a box that was lost`;
     return { exitCode: EXIT_CODES.failed, lines: [text], data: { requestId, lines: [] } };
   }
   return { exitCode: EXIT_CODES.ok, lines: explained, data: { requestId, lines: explained } };
