Let an entry outlive a peer that freezes: no unheard error when a ping goes unanswered

Cause: 'a pool is killed and one is frozen under load' was flaky (11 and 13 of 40 answered where 20 are wanted; then 'other side closed', ECONNREFUSED, timeouts of the tests that follow). Two things: (1) entries died. When a ping goes unanswered the HTTP/2 session manager of connect-node destroys its session with an error after its listeners are gone, and Node ends the process. Seen by keeping the entries' last lines (crash 3 of 3 with 20 s deadlines, all three entries). (2) The test's deadline of 2 s made entries refuse on a slow machine, truly, as they would miss it. Ruled out: the new store protocol (the crash is in peer/). Change: connections on which bytes go out and none come in for 3 s are closed by us, and the library's own wait never runs out. The test asks with 20 s, keeps its bound of 20 of 40 and checks besides that what is told not to have run has not; it waits for the thawed pool by a state in place of 30 s that always ran out (the killed pool never comes back).

--- a/e2e/failures_test.ts
+++ b/e2e/failures_test.ts
@@ -115,12 +115,8 @@
   t.teardown(() => fleet.stop());
   await fleet.addService(shape);
   const url = (box: number) => `${urlOf(fleet.boxes[box]?.entry)}/v1/services/bidscope/query`;
-  async function ask(box: number, mark: string): Promise<QueryAnswer> {
-    const { body } = await postJson(url(box), {
-      caller: mark,
-      deadlineMs: 2_000,
-      body: { mark },
-    });
+  async function ask(box: number, mark: string, deadlineMs = 2_000): Promise<QueryAnswer> {
+    const { body } = await postJson(url(box), { caller: mark, deadlineMs, body: { mark } });
     return body as QueryAnswer;
   }
   function isExact({ coverage, rows }: QueryAnswer): boolean {
@@ -133,7 +129,9 @@
   }
 
   await t.test("a pool is killed and one is frozen under load", async (t) => {
-    const asked = Array.from({ length: 40 }, (_, index) => ask(index % 2, `k${index}`));
+    // Long enough that no query is refused for the machine's speed.
+    const deadlineMs = 20_000;
+    const asked = Array.from({ length: 40 }, (_, index) => ask(index % 2, `k${index}`, deadlineMs));
     fleet.boxes[2]?.pool.signal("SIGKILL");
     fleet.boxes[1]?.pool.signal("SIGSTOP");
     const answers = await Promise.all(asked);
@@ -142,10 +140,16 @@
     t.ok(answered.every(isExact));
     t.ok(answered.every((answer) => answer.snapshot === "v1" && answer.rows.length > 0));
     t.ok(answered.length >= 20, `${answered.length} of 40 were answered, the rest not run`);
+    for (const [index, { notRun }] of answers.entries()) {
+      t.notOk(notRun && (await runsOf(fleet, `k${index}`)).length > 0, `k${index} is told truly`);
+    }
   });
 
   await t.test("a draining server gets no new work though it reports it is ready", async (t) => {
-    await fleet.ready().catch(() => undefined);
+    await until(
+      async () => (await ask(0, "recovered")).outcome === "complete",
+      "the pool that was frozen serves again",
+    );
     const lying = { state: "draining", reportedState: "ready" } as const;
     await fleet.changeLeafs("bidscope-05", lying);
     await ask(0, "draining-1");
--- a/peer/peer_client.ts
+++ b/peer/peer_client.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { connect } from "node:net";
+import { connect, type Socket } from "node:net";
 import { type Client, createClient } from "@connectrpc/connect";
 import { createConnectTransport, Http2SessionManager } from "@connectrpc/connect-node";
 import type { PeerAddress } from "../control/mod.js";
@@ -18,8 +18,15 @@
 /** Time between two pings on a connection in use, in milliseconds. */
 const PING_EVERY_MS = 1_000;
 
-/** Time without an answer to a ping after which a connection counts as cut, in milliseconds. */
-const PING_ANSWER_MS = 3_000;
+/** Time without a byte from the other daemon, pings unanswered, after which a connection counts as cut, in milliseconds. */
+const SILENT_MS = 3_000;
+
+/**
+ * Time that the library waits for the answer to a ping, in milliseconds. Longer than any connection
+ * lives: when it runs out, the library ends the session with an error that nothing listens to any
+ * more, which ends the process. `closeWhenSilent` sees to it before.
+ */
+const LIBRARY_PING_ANSWER_MS = 86_400_000;
 
 /** A client of one daemon. */
 export interface PeerClient {
@@ -42,10 +49,14 @@
     {
       idleConnectionTimeoutMs: IDLE_MS,
       pingIntervalMs: PING_EVERY_MS,
-      pingTimeoutMs: PING_ANSWER_MS,
+      pingTimeoutMs: LIBRARY_PING_ANSWER_MS,
     },
     // Small messages must not wait for those before them to be acknowledged.
-    { createConnection: () => connect({ host: address, port: peerPort, noDelay: true }) },
+    {
+      createConnection: () => {
+        return closeWhenSilent(connect({ host: address, port: peerPort, noDelay: true }));
+      },
+    },
   );
   const transport = createConnectTransport({
     baseUrl,
@@ -56,3 +67,23 @@
   });
   return { rpc: createClient(PeerService, transport), close: () => sessionManager.abort() };
 }
+
+/** Closes a connection on which bytes go out, pings at least, and none come in. */
+function closeWhenSilent(socket: Socket): Socket {
+  let read = 0;
+  let writtenThen = 0;
+  let silentMs = 0;
+  const timer = setInterval(() => {
+    const hears = socket.bytesRead > read;
+    const asks = socket.bytesWritten > writtenThen;
+    silentMs = hears || (silentMs === 0 && !asks) ? 0 : silentMs + PING_EVERY_MS;
+    read = socket.bytesRead;
+    writtenThen = socket.bytesWritten;
+    if (silentMs >= SILENT_MS) {
+      socket.destroy();
+    }
+  }, PING_EVERY_MS);
+  timer.unref();
+  socket.once("close", () => clearInterval(timer));
+  return socket;
+}
