Notice a watch that was cut without a word before the box is in touch again

The box's path to the store was cut and came back; its watch of 28 s hung on the dead connection, and the peers' news, a second and more behind, came too late (log: 'took over from peer' each second, 'store: lost' 14 s after). Change: a watch waits 2 s; with 1.5 s for an answer that is below the 4 s in touch.

--- a/box/registry_watch.ts
+++ b/box/registry_watch.ts
@@ -5,8 +5,12 @@
  */
 import type { StoreChanges, StoreClient, StoreError, StoreList } from "../platform/mod.js";
 
-/** Longest time that a watch waits for a change, in milliseconds; the store allows 30,000. */
-const WATCH_MS = 28_000;
+/**
+ * Longest time that a watch waits for a change, in milliseconds. A watch whose connection is cut
+ * without a word is noticed only when this and the time for an answer (1,500) have passed; both
+ * together must be below the 4,000 after which a box counts as in touch again.
+ */
+export const WATCH_MS = 2_000;
 
 /**
  * Pause after a watch that brought changes, in milliseconds: changes that come close together share
--- a/box/registry_watch_test.ts
+++ b/box/registry_watch_test.ts
@@ -1,7 +1,7 @@
 import { err, ok } from "neverthrow";
 import t from "tap";
 import type { StoreClient } from "../platform/mod.js";
-import { RegistryWatch } from "./registry_watch.js";
+import { RegistryWatch, WATCH_MS } from "./registry_watch.js";
 
 type Store = Pick<StoreClient, "list" | "watch">;
 
@@ -56,6 +56,15 @@
   t.same(heard, ["list", "changes to 8"]);
 });
 
+t.test(
+  "a watch that is cut without a word is noticed before the box is in touch again",
+  async (t) => {
+    const answerMs = 1_500;
+    const inTouchMs = 4_000;
+    t.ok(WATCH_MS + answerMs < inTouchMs);
+  },
+);
+
 t.test("an outage is told once when it begins and once when it ends", async (t) => {
   const { heard } = await runWatch([DOWN, DOWN, NOTHING]);
   t.same(heard, ["list", "lost", "regained"]);
