--- a/request/_judge.ts
+++ b/request/_judge.ts
@@ -102,7 +102,7 @@
   return state.shards.length - state.partsLost >= Math.max(1, leastParts(state, target));
 }
 
-/** A hair less than the product, so that 0.89 of 100 parts is 89 whatever the rounding. */
+/** Slightly less than the product is rounded up, so that 0.89 of 100 parts is 89 parts. */
 function leastParts(state: RequestState, target: GatherTarget): number {
   return Math.ceil(target.leastShare * state.shards.length - 1e-9);
 }
