Start from compiled code that the build keeps, with only the parts of undici that are used

In a profile of the start 90 ms went to compiling the bundle (1.1 MB) and 68 ms to running modules that are never used.

--- a/bin/rackvale_box.ts
+++ b/bin/rackvale_box.ts
@@ -1,4 +1,3 @@
-#!/usr/bin/env node
 /**
  * The box daemon's program, for the users' platform.
  *
@@ -20,35 +19,39 @@
   "metrics-path": { kind: "text", help: "Path of the metrics", fallback: "/metrics" },
 } as const;
 
-const { settings: own } = settingsOrExit(USAGE, SPECS);
-const settings = readBoxSettings(process.env[SETTINGS_VARIABLE]);
-if (settings.isErr()) {
-  process.stderr.write(`${settings.error.message}\n`);
-  process.exit(2);
-}
-const policies = own.policies === "" ? undefined : await readPolicies(own.policies);
-if (policies?.isErr() === true) {
-  process.stderr.write(`${policies.error}\n`);
-  process.exit(2);
-}
-const telemetry = boxTelemetry(settings.value.box);
-const port = own["metrics-port"];
-const box = new Box({
-  settings: settings.value,
-  telemetry,
-  policies: policies?.isOk() === true ? policies.value : undefined,
-  metrics: port === 0 ? undefined : { port, path: own["metrics-path"] },
-  onEnd: () => process.exit(0),
-});
-process.on("SIGTERM", () => box.stop());
-process.on("SIGINT", () => box.stop());
-process.on("SIGHUP", () => {
-  const changed = readBoxSettings(process.env[SETTINGS_VARIABLE]);
-  if (changed.isErr()) {
-    // The settings in force are kept; those that cannot be read must not end a box that serves.
-    telemetry.event("error", "box: cannot reload", { reason: changed.error.message });
-  } else {
-    box.reload(changed.value);
+async function main(): Promise<void> {
+  const { settings: own } = settingsOrExit(USAGE, SPECS);
+  const settings = readBoxSettings(process.env[SETTINGS_VARIABLE]);
+  if (settings.isErr()) {
+    process.stderr.write(`${settings.error.message}\n`);
+    process.exit(2);
+  }
+  const policies = own.policies === "" ? undefined : await readPolicies(own.policies);
+  if (policies?.isErr() === true) {
+    process.stderr.write(`${policies.error}\n`);
+    process.exit(2);
   }
-});
-await box.start();
+  const telemetry = boxTelemetry(settings.value.box);
+  const port = own["metrics-port"];
+  const box = new Box({
+    settings: settings.value,
+    telemetry,
+    policies: policies?.isOk() === true ? policies.value : undefined,
+    metrics: port === 0 ? undefined : { port, path: own["metrics-path"] },
+    onEnd: () => process.exit(0),
+  });
+  process.on("SIGTERM", () => box.stop());
+  process.on("SIGINT", () => box.stop());
+  process.on("SIGHUP", () => {
+    const changed = readBoxSettings(process.env[SETTINGS_VARIABLE]);
+    if (changed.isErr()) {
+      // The settings in force are kept; those that cannot be read must not end a box that serves.
+      telemetry.event("error", "box: cannot reload", { reason: changed.error.message });
+    } else {
+      box.reload(changed.value);
+    }
+  });
+  await box.start();
+}
+
+void main();
--- a/box/peer_catch_up.ts
+++ b/box/peer_catch_up.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { request } from "undici";
+import { Client } from "undici";
 import type { Member } from "../model/mod.js";
 import type { BoxKnowledge, SharedKnowledge } from "./box_knowledge.js";
 import type { BoxTelemetry } from "./box_telemetry.js";
@@ -63,8 +63,11 @@
 
   async #fetchFrom({ address, peerPort, box }: Member): Promise<void> {
     const { knowledge, telemetry } = this.#options;
+    const client = new Client(`http://${address}:${peerPort}`);
     try {
-      const answer = await request(`http://${address}:${peerPort}${KNOWLEDGE_PATH}`, {
+      const answer = await client.request({
+        method: "GET",
+        path: KNOWLEDGE_PATH,
         signal: AbortSignal.timeout(PEER_ANSWER_MS),
       });
       knowledge.takeOver((await answer.body.json()) as SharedKnowledge);
@@ -72,6 +75,8 @@
     } catch (error) {
       const reason = (error as Error).message;
       telemetry.event("warn", "fleet: cannot take over from peer", { member: box, reason });
+    } finally {
+      void client.destroy();
     }
   }
 }
--- /dev/null
+++ b/tools/box_loader.cjs
@@ -0,0 +1,31 @@
+/**
+ * Starts the bundled box daemon from compiled code that the build has kept, which saves a third of
+ * the time that a start takes. Stands in `target/` beside the bundle.
+ *
+ * @module
+ */
+const { readFileSync, writeFileSync } = require("node:fs");
+const { join } = require("node:path");
+const { Script } = require("node:vm");
+
+const BUNDLE = join(__dirname, "box.cjs");
+const COMPILED = join(__dirname, "box.compiled");
+
+/** Set by the build alone: the compiled code is written when the program ends. */
+const isBuild = process.env.RACKVALE_KEEP_COMPILED === "1";
+
+/** As Node wraps a module in CommonJS. */
+const source = `(function (exports, require, module, __filename, __dirname) {${readFileSync(BUNDLE, "utf8")}\n})`;
+const script = new Script(source, {
+  filename: BUNDLE,
+  ...(isBuild ? {} : { cachedData: readFileSync(COMPILED) }),
+});
+if (script.cachedDataRejected === true) {
+  // Another version of Node or other flags: slower, but all the same.
+  process.stderr.write("box: compiled code does not fit this Node, compiling anew\n");
+}
+if (isBuild) {
+  process.on("exit", () => writeFileSync(COMPILED, script.createCachedData()));
+}
+const loaded = { exports: {} };
+script.runInThisContext()(loaded.exports, require, loaded, BUNDLE, __dirname);
--- /dev/null
+++ b/tools/undici_client.cjs
@@ -0,0 +1,15 @@
+/**
+ * The parts of undici that the box daemon uses. The bundle takes this in place of the whole library,
+ * whose fetch, caches, mocks and websockets would have to be read at each start.
+ *
+ * @module
+ */
+const Client = require("undici/lib/dispatcher/client");
+const Dispatcher = require("undici/lib/dispatcher/dispatcher");
+const Pool = require("undici/lib/dispatcher/pool");
+const buildConnector = require("undici/lib/core/connect");
+const request = require("undici/lib/api/api-request");
+
+Dispatcher.prototype.request = request;
+
+module.exports = { buildConnector, Client, Pool };
