Let a few boxes of each region watch the store and serve, and shorten what boxes tell each other

Ruled out: fewer members a datagram (they carry the news of joins and losses). Change: three boxes a region watch the store, by rendezvous hashing, without a lease; they tell the others at once, who take over the difference (box/leaf_news, box/shared_knowledge). At a start with many services a box waits a moment for a peer's leafs. Callers and relays are sent to the roomiest boxes that hold half of a region's processors, four at least. Datagrams are lists, deflated; two thirds go to the own region. A box takes work once it knows configuration and leafs. Regions with up to three boxes all watch, as before.

--- a/box/box_knowledge.ts
+++ b/box/box_knowledge.ts
@@ -17,13 +17,17 @@
   decodeConfiguration,
   decodeLeaf,
   LEAF_KIND,
+  type StoreChanges,
   type StoreClient,
+  type StoreList,
   type StoreObject,
 } from "../platform/mod.js";
 import { type Configuration, type RouteTable, routeTable } from "../routing/mod.js";
 import type { BoxTelemetry } from "./box_telemetry.js";
-import type { Progress } from "./fleet_link.js";
+import type { Progress } from "./fleet_messages.js";
+import { LeafNews } from "./leaf_news.js";
 import { type RegistryListener, RegistryWatch } from "./registry_watch.js";
+import { applyShared, type SharedKnowledge, shareKnowledge } from "./shared_knowledge.js";
 
 /**
  * Time that a leaf's entry has to come back after an outage of the store, in milliseconds: entries
@@ -37,12 +41,17 @@
  */
 const RETURN_MS = 2_500;
 
-/** What a peer hands over to a box that is behind. */
-export interface SharedKnowledge {
-  readonly configuration: Configuration | undefined;
-  readonly leafs: ReadonlyArray<Leaf>;
-  readonly leafsRevision: number;
-}
+/**
+ * Services up to which a box lists the leafs at once when it starts. Where there are more, the list
+ * is worth waiting a moment for a peer that has it.
+ */
+const FEW_SERVICES = 100;
+
+/** Time after the start in which a box learns whether it is to watch the store, in milliseconds. */
+const LEARN_PEERS_MS = 1_000;
+
+/** Time after the start for which a box that is not to watch waits for a peer's leafs, in milliseconds. */
+const WAIT_FOR_PEER_MS = 2_500;
 
 /** What the knowledge is made from. */
 export interface BoxKnowledgeOptions {
@@ -60,7 +69,11 @@
 /** The configuration and the leafs that a box acts by. */
 export class BoxKnowledge {
   readonly #options: BoxKnowledgeOptions;
-  readonly #watches: ReadonlyArray<RegistryWatch>;
+  readonly #configurationWatch: RegistryWatch;
+  readonly #leafWatch: RegistryWatch;
+  readonly #news = new LeafNews();
+  #startedAtMs = 0;
+  #isWatcher = true;
   #routes: RouteTable | undefined;
   #leafs: LeafTable = NO_LEAFS;
   #leafsRevision = 0;
@@ -75,44 +88,82 @@
   constructor(options: BoxKnowledgeOptions) {
     this.#options = options;
     const { store, waitMs } = options;
-    this.#watches = [
-      new RegistryWatch(
-        { store, kind: CONFIGURATION_KIND, waitMs, mayBeStale: false },
-        this.#listener(CONFIGURATION_KIND, {
-          onList: ({ objects }) => this.#readConfiguration(objects),
-          onChanges: ({ changed }) => this.#readConfiguration(changed),
-        }),
-      ),
-      new RegistryWatch(
-        { store, kind: LEAF_KIND, waitMs, mayBeStale: true },
-        this.#listener(LEAF_KIND, {
-          onList: ({ objects, revision }) => this.#readLeafList(objects, revision),
-          onChanges: ({ changed, removed, revision }) => {
-            this.#setLeafs(
-              applyLeafChanges(
-                this.#leafs,
-                { changed: this.#decodeLeafs(changed), removed },
-                this.#removal(),
-              ),
-              revision,
-            );
-          },
-        }),
-      ),
-    ];
+    this.#configurationWatch = new RegistryWatch(
+      { store, kind: CONFIGURATION_KIND, waitMs, mayBeStale: false },
+      this.#listener(CONFIGURATION_KIND, {
+        onList: ({ objects }) => this.#readConfiguration(objects),
+        onChanges: ({ changed }) => this.#readConfiguration(changed),
+      }),
+    );
+    this.#leafWatch = new RegistryWatch(
+      { store, kind: LEAF_KIND, waitMs, mayBeStale: true },
+      this.#listener(LEAF_KIND, {
+        onList: (list) => this.#readLeafList(list),
+        onChanges: (changes) => this.#readLeafChanges(changes),
+      }),
+    );
+    this.#leafWatch.pause();
   }
 
   /** Begins to watch the store. */
   start(): void {
-    for (const watch of this.#watches) {
-      void watch.run();
-    }
+    this.#startedAtMs = this.#options.nowMs();
+    void this.#configurationWatch.run();
+    void this.#leafWatch.run();
   }
 
   /** Ends the watches. */
   stop(): void {
-    for (const watch of this.#watches) {
-      watch.stop();
+    this.#configurationWatch.stop();
+    this.#leafWatch.stop();
+  }
+
+  /** Whether this box watches the store itself. */
+  get isWatcher(): boolean {
+    return this.#isWatcher;
+  }
+
+  /** Whether a configuration and the leafs are known, so that requests can be served. */
+  get isComplete(): boolean {
+    return this.#routes !== undefined && this.#leafsRevision > 0;
+  }
+
+  /**
+   * Says whether this box is among those that watch the store; the others hear from them.
+   *
+   * @param isWatcher - Whether it is.
+   */
+  setWatcher(isWatcher: boolean): void {
+    this.#isWatcher = isWatcher;
+    this.#setWanted(this.#configurationWatch, CONFIGURATION_KIND, {
+      isWanted: isWatcher || this.#routes === undefined,
+      revision: 0,
+    });
+    this.#setWanted(this.#leafWatch, LEAF_KIND, {
+      isWanted: this.#wantsLeafWatch(),
+      revision: this.#leafsRevision,
+    });
+  }
+
+  #wantsLeafWatch(): boolean {
+    const services = this.#routes?.configuration.services.length ?? Number.POSITIVE_INFINITY;
+    if (this.#leafsRevision === 0 && services > FEW_SERVICES) {
+      const sinceStartMs = this.#options.nowMs() - this.#startedAtMs;
+      return sinceStartMs > (this.#isWatcher ? LEARN_PEERS_MS : WAIT_FOR_PEER_MS);
+    }
+    return this.#isWatcher || this.#leafsRevision === 0;
+  }
+
+  #setWanted(
+    watch: RegistryWatch,
+    kind: string,
+    { isWanted, revision }: { readonly isWanted: boolean; readonly revision: number },
+  ): void {
+    if (isWanted) {
+      watch.resume(revision);
+    } else {
+      watch.pause();
+      this.#lost.delete(kind);
     }
   }
 
@@ -139,7 +190,7 @@
     };
   }
 
-  /** When the store was last heard, on this box's clock; minus infinity before the first time. */
+  /** When the store or a peer's news was last heard, on this box's clock; minus infinity before. */
   get heardAtMs(): number {
     return this.#heardAtMs;
   }
@@ -158,13 +209,17 @@
     }
   }
 
-  /** Gives what peers that are behind may take over. */
-  share(): SharedKnowledge {
-    return {
-      configuration: this.#routes?.configuration,
-      leafs: [...this.#leafs.byId.values()],
-      leafsRevision: this.#leafsRevision,
-    };
+  /**
+   * Gives what a peer that is behind may take over.
+   *
+   * @param progress - How far the peer is.
+   * @returns What it lacks.
+   */
+  share(progress: Progress): SharedKnowledge {
+    const configuration = this.#routes?.configuration;
+    const { nowMs } = this.#options;
+    const known = { configuration, leafs: this.#leafs, leafsRevision: this.#leafsRevision };
+    return shareKnowledge({ ...known, news: this.#news, nowMs: nowMs() }, progress);
   }
 
   /**
@@ -172,13 +227,21 @@
    *
    * @param shared - What the peer handed over.
    */
-  takeOver({ configuration, leafs, leafsRevision }: SharedKnowledge): void {
+  takeOver(shared: SharedKnowledge): void {
+    const { configuration, leafs, removed, leafsRevision } = shared;
+    this.#heardAtMs = this.#options.nowMs();
+    if (leafsRevision > this.#leafsRevision) {
+      if (removed === undefined) {
+        this.#news.restart(leafsRevision);
+      } else {
+        const changed = leafs.map(({ leafId }) => leafId);
+        this.#news.note({ changed, removed, revision: leafsRevision });
+      }
+      this.#setLeafs(applyShared(this.#leafs, shared, this.#options.nowMs()), leafsRevision);
+    }
     if (configuration !== undefined) {
       this.#adopt(configuration, "peer");
     }
-    if (leafsRevision > this.#leafsRevision) {
-      this.#setLeafs(applyLeafList(this.#leafs, leafs, this.#removal()), leafsRevision);
-    }
   }
 
   #listener(
@@ -225,16 +288,25 @@
       return;
     }
     this.#routes = routeTable(configuration);
+    this.setWatcher(this.#isWatcher);
     const fields = { version: configuration.version, before: version, source };
     this.#options.telemetry.event("info", "configuration: in force", fields);
     this.#options.onConfiguration(configuration);
   }
 
-  #readLeafList(objects: ReadonlyArray<StoreObject>, revision: number): void {
+  #readLeafList({ objects, revision }: StoreList): void {
     const leafs = this.#decodeLeafs(objects);
+    this.#news.restart(revision);
     this.#setLeafs(applyLeafList(this.#leafs, leafs, this.#removal()), revision);
   }
 
+  #readLeafChanges({ changed, removed, revision }: StoreChanges): void {
+    const leafs = this.#decodeLeafs(changed);
+    this.#news.note({ changed: changed.map(({ name }) => name), removed, revision });
+    const changes = { changed: leafs, removed };
+    this.#setLeafs(applyLeafChanges(this.#leafs, changes, this.#removal()), revision);
+  }
+
   #decodeLeafs(objects: ReadonlyArray<StoreObject>): ReadonlyArray<Leaf> {
     return objects.flatMap(({ name, spec }) => {
       const leaf = decodeLeaf(name, spec);
--- a/box/box_shell.ts
+++ b/box/box_shell.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { randomUUID } from "node:crypto";
+import { randomBytes } from "node:crypto";
 import type { Server } from "node:http";
 import { LeafCalls } from "../calls/mod.js";
 import type { Distance, Leaf } from "../leafs/mod.js";
@@ -28,7 +28,9 @@
 import { RequestIntake } from "./request_intake.js";
 import { RequestRunner } from "./request_runner.js";
 import { type CompiledPolicies, RoutePolicies } from "./route_policies.js";
+import { servingBoxes } from "./serving_boxes.js";
 import { type MetricsPlace, type ServerAtPort, sideServers } from "./side_servers.js";
+import { storeWatchers } from "./store_watchers.js";
 
 /** Time that callers may keep an answer of the directory, in milliseconds; at most the setting. */
 const KEEP_MS = 5_000;
@@ -51,6 +53,9 @@
 /** Most connections of one box to a leaf; more than this are never needed at its few slots. */
 const MOST_CONNECTIONS = 8;
 
+/** Random bytes that tell two runs of a box apart; few, as they are in each datagram. */
+const INCARNATION_BYTES = 6;
+
 /** What a box is started with. */
 export interface BoxOptions {
   readonly settings: BoxSettings;
@@ -76,6 +81,7 @@
   readonly #fleet: FleetLink;
   readonly #callerServer: Server;
   readonly #servers: ReadonlyArray<ServerAtPort>;
+  readonly #serving = new Map<string, ReadonlyArray<Member>>();
   #lifecycle: Lifecycle = NEW_LIFECYCLE;
   #stopping = false;
   #tidyTimer: NodeJS.Timeout | undefined;
@@ -96,6 +102,7 @@
       onConfiguration: () => this.#configured(),
       onLeafs: () => {
         this.#calls.forgetUnknown((leafId) => this.#knowledge.leafs.byId.has(leafId));
+        this.#learned();
       },
     });
     this.#calls = new LeafCalls({
@@ -108,14 +115,17 @@
       slackCalls: () => this.#settings.extraCallSlack,
       countBoxes: () => this.#countBoxes(),
     });
+    const regionOf = (dataCentre: string): string => {
+      return settings.regions.get(dataCentre) ?? dataCentre;
+    };
     this.#runner = new RequestRunner({
       nowMs,
       calls: this.#calls,
       leafs: () => this.#knowledge.leafs,
       distance: (leaf) => this.#distance(leaf),
-      regionOf: (dataCentre) => settings.regions.get(dataCentre) ?? dataCentre,
+      regionOf,
       relays: new RelayCalls(nowMs),
-      boxesIn: (region) => this.#boxesIn(region),
+      boxesIn: (region) => this.#servingBoxes(region),
       creditRequest: (service) => this.#budgets.credit(service),
       takeExtraCall: (service, kind) => {
         const allowed = this.#budgets.take(service, kind);
@@ -123,15 +133,21 @@
         return allowed;
       },
     });
-    const catchUp = new PeerCatchUp({ box: settings.box, knowledge: this.#knowledge, telemetry });
+    const isNear = ({ dataCentre }: Member): boolean => {
+      return regionOf(dataCentre) === regionOf(settings.dataCentre);
+    };
+    const knowledge = this.#knowledge;
+    const catchUp = new PeerCatchUp({ box: settings.box, knowledge, isNear, telemetry });
     this.#fleet = new FleetLink({
       self: this.#self(),
       seeds: () => this.#seedAddresses(),
       port: settings.datagramPort,
       nowMs,
+      isNear,
       progress: () => this.#knowledge.progress,
       onProgress: (member, progress) => catchUp.compare(member, progress),
       onMember: ({ box, state, incarnation }) => {
+        this.#serving.clear();
         telemetry.event("info", "fleet: box changed", { member: box, state, incarnation });
       },
       onFault: (message) => telemetry.event("warn", "fleet: fault", { reason: message }),
@@ -162,7 +178,7 @@
         isReady: () => lifecyclePhase(this.#lifecycle) === "ready",
         advise: (region) => this.#advise(region),
         keepMs: () => Math.min(KEEP_MS, this.#settings.mostKeepMs),
-        share: () => this.#knowledge.share(),
+        share: (progress) => this.#knowledge.share(progress),
         relay: {
           nowMs,
           calls: this.#calls,
@@ -208,6 +224,7 @@
     this.#stopping = true;
     this.#move("stopRequested");
     this.#fleet.declare("leaving");
+    this.#serving.clear();
     const { stopGraceMs } = this.#settings;
     setTimeout(() => this.#finish(), stopGraceMs - FINISH_MS);
     setTimeout(() => this.#end(), stopGraceMs - EXIT_MS);
@@ -244,10 +261,10 @@
   }
 
   #self(): Member {
-    const { box, address, dataCentre, callers, peers } = this.#settings;
+    const { box, address, dataCentre, callers, peers, processorCores } = this.#settings;
     return {
       memberId: box,
-      incarnation: randomUUID(),
+      incarnation: randomBytes(INCARNATION_BYTES).toString("hex"),
       startedAtEpochMs: Date.now(),
       version: 1,
       state: "joining",
@@ -257,6 +274,7 @@
       address,
       peerPort: peers.port,
       callerPort: callers.port,
+      processorCores,
     };
   }
 
@@ -271,12 +289,37 @@
       this.#callerServer.headersTimeout =
         this.#callerServer.keepAliveTimeout + limits.headerTimeoutMs;
     }
-    if (lifecyclePhase(this.#lifecycle) === "starting") {
+    this.#learned();
+  }
+
+  /** Takes work once all that is needed is known, and tells the boxes that hear from this one. */
+  #learned(): void {
+    if (this.#knowledge.isComplete && lifecyclePhase(this.#lifecycle) === "starting") {
       this.#move("configured");
       this.#fleet.declare("alive");
+      this.#serving.clear();
+    }
+    if (this.#knowledge.isWatcher) {
+      this.#fleet.tell(this.#followers());
     }
   }
 
+  /** Boxes of the own region that do not watch the store. */
+  #followers(): ReadonlyArray<Member> {
+    const near = this.#nearLiving();
+    const watchers = storeWatchers(near);
+    return near.filter(({ memberId }) => !watchers.has(memberId));
+  }
+
+  #nearLiving(): ReadonlyArray<Member> {
+    const { dataCentre, regions } = this.#settings;
+    const region = regions.get(dataCentre);
+    return this.#fleet.members().filter((member) => {
+      const isLiving = member.state === "alive" || member.state === "joining";
+      return isLiving && regions.get(member.dataCentre) === region;
+    });
+  }
+
   #seedAddresses(): ReadonlyArray<string> {
     const { address: own, seeds } = this.#settings;
     return seeds.map(({ address }) => address).filter((address) => address !== own);
@@ -287,11 +330,17 @@
     return Math.max(this.#settings.seeds.length, present.length);
   }
 
+  /** Serving boxes share a leaf's connections; one that stands by needs few, if any. */
   #connections(service: string): number {
     const terms = this.#knowledge.routes?.termsByService.get(service);
     const most =
       terms === undefined || terms.maxConnections === 0 ? Infinity : terms.maxConnections;
-    const share = Math.floor(most / (this.#countBoxes() + 1));
+    const serving = [...new Set(this.#settings.regions.values())].flatMap((region) => {
+      return this.#servingBoxes(region);
+    });
+    const isServing = serving.some(({ memberId }) => memberId === this.#settings.box);
+    const sharers = isServing ? serving.length : this.#countBoxes();
+    const share = Math.floor(most / (sharers + 1));
     return Math.max(1, Math.min(MOST_CONNECTIONS, share));
   }
 
@@ -304,8 +353,12 @@
   }
 
   #tidy(): void {
+    this.#serving.clear();
     this.#calls.dropOverdue();
     this.#knowledge.dropOverdue();
+    // One that leaves is told of nothing any more and goes on by itself.
+    const isWatcher = this.#stopping || storeWatchers(this.#nearLiving()).has(this.#settings.box);
+    this.#knowledge.setWatcher(isWatcher);
     this.#telemetry.storeCalls.set(this.#store.calls);
   }
 
@@ -316,9 +369,20 @@
     });
   }
 
+  /** Asked for with each call, so it is kept until a box changes. */
+  #servingBoxes(region: string): ReadonlyArray<Member> {
+    const kept = this.#serving.get(region);
+    if (kept !== undefined) {
+      return kept;
+    }
+    const serving = servingBoxes(this.#boxesIn(region));
+    this.#serving.set(region, serving);
+    return serving;
+  }
+
   /** Addresses of the boxes in the caller's region; of all, where none there can be given work. */
   #advise(region: string): ReadonlyArray<SocketAddress> {
-    const near = this.#boxesIn(region);
+    const near = this.#servingBoxes(region);
     return (near.length > 0 ? near : this.#fleet.alive()).map(({ address, callerPort }) => {
       return { address, port: callerPort };
     });
--- a/box/fleet_link.ts
+++ b/box/fleet_link.ts
@@ -15,6 +15,12 @@
   takeRiders,
 } from "../membership/mod.js";
 import type { Member, MemberState } from "../model/mod.js";
+import {
+  decodeFleetMessage,
+  encodeFleetMessage,
+  type FleetMessageKind,
+  type Progress,
+} from "./fleet_messages.js";
 
 /** Time between two questions to other boxes, in milliseconds. */
 const ASK_EVERY_MS = 1_000;
@@ -22,24 +28,11 @@
 /** Time that an asked box has for its answer, in milliseconds; the far region is 25 ms away. */
 const ANSWER_MS = 300;
 
-/** Largest datagram taken, in bytes. */
-const MAX_DATAGRAM_BYTES = 16_384;
-
-/** How far a box is with what lasts in the store. */
-export interface Progress {
-  /** Version of the configuration in force; 0 before the first. */
-  readonly configurationVersion: number;
-  /** Revision of the store up to which it knows the leafs' entries; 0 before the first. */
-  readonly leafsRevision: number;
-}
-
-interface FleetMessage {
-  readonly kind: "ask" | "answer";
-  /** Number of the question, so that an answer can be told from a late one. */
-  readonly number: number;
-  readonly members: ReadonlyArray<Member>;
-  readonly progress: Progress;
-}
+/**
+ * Share of the questions that go to a box of the own region: bytes between regions have a price, and
+ * a third of the questions to all carries news as far as it must go.
+ */
+const NEAR_SHARE = 0.67;
 
 /** What the link needs of its box. */
 export interface FleetLinkOptions {
@@ -48,6 +41,8 @@
   readonly seeds: () => ReadonlyArray<string>;
   /** Port of the datagrams on every box. */
   readonly port: number;
+  /** Tells whether a box is in this one's region. */
+  readonly isNear: (member: Member) => boolean;
   readonly nowMs: () => number;
   readonly progress: () => Progress;
   /** Told how far another box is. */
@@ -111,6 +106,21 @@
     }
   }
 
+  /**
+   * Tells boxes how far this one is, without a question.
+   *
+   * @param members - The boxes.
+   */
+  tell(members: ReadonlyArray<Member>): void {
+    const { port, progress } = this.#options;
+    const { self } = this.#membership;
+    const message = { kind: "news", number: 0, members: [self], progress: progress() } as const;
+    const data = encodeFleetMessage(message);
+    for (const { address } of members) {
+      this.#socket.send(data, port, address);
+    }
+  }
+
   /** Ends the link. */
   stop(): void {
     clearInterval(this.#timer);
@@ -130,7 +140,9 @@
     const candidates = [...this.#membership.records.values()]
       .map(({ member }) => member)
       .filter(({ state }) => state !== "dead");
-    const chosen = candidates[pick(candidates.length)];
+    const near = candidates.filter((member) => this.#options.isNear(member));
+    const asked = near.length > 0 && Math.random() < NEAR_SHARE ? near : candidates;
+    const chosen = asked[pick(asked.length)];
     if (chosen === undefined) {
       for (const seed of seeds()) {
         this.#ask(seed);
@@ -168,16 +180,16 @@
     return asked;
   }
 
-  #send(kind: FleetMessage["kind"], number: number, address: string): void {
+  #send(kind: FleetMessageKind, number: number, address: string): void {
     const { membership, riders } = takeRiders(this.#membership, pick);
     this.#membership = membership;
     const members = [membership.self, ...riders];
-    const message: FleetMessage = { kind, number, members, progress: this.#options.progress() };
-    this.#socket.send(JSON.stringify(message), this.#options.port, address);
+    const message = { kind, number, members, progress: this.#options.progress() };
+    this.#socket.send(encodeFleetMessage(message), this.#options.port, address);
   }
 
   #receive(data: Buffer, address: string): void {
-    const message = decodeMessage(data);
+    const message = decodeFleetMessage(data);
     if (message === undefined) {
       this.#options.onFault(`Cannot read a datagram from "${address}"`);
       return;
@@ -201,16 +213,3 @@
 function pick(count: number): number {
   return Math.floor(Math.random() * count);
 }
-
-/** Boxes trust one another; only what is no message at all is turned away. */
-function decodeMessage(data: Buffer): FleetMessage | undefined {
-  if (data.length > MAX_DATAGRAM_BYTES) {
-    return undefined;
-  }
-  try {
-    const message = JSON.parse(data.toString("utf8")) as FleetMessage;
-    return Array.isArray(message.members) ? message : undefined;
-  } catch {
-    return undefined;
-  }
-}
--- /dev/null
+++ b/box/fleet_messages.ts
@@ -0,0 +1,116 @@
+/**
+ * The datagrams that boxes exchange: who is there, and how far the sender is with what lasts in the
+ * store. Lists in place of named fields, deflated: each box sends some every second, and most of them
+ * pass between regions.
+ *
+ * @module
+ */
+import { deflateRawSync, inflateRawSync } from "node:zlib";
+import type { Member, MemberState } from "../model/mod.js";
+
+/** How far a box is with what lasts in the store. */
+export interface Progress {
+  /** Version of the configuration in force; 0 before the first. */
+  readonly configurationVersion: number;
+  /** Revision of the store up to which it knows the leafs' entries; 0 before the first. */
+  readonly leafsRevision: number;
+}
+
+/** What a datagram is for. */
+export type FleetMessageKind = "ask" | "answer" | "news";
+
+/** One datagram. */
+export interface FleetMessage {
+  readonly kind: FleetMessageKind;
+  /** Number of the question, so that an answer can be told from a late one. */
+  readonly number: number;
+  readonly progress: Progress;
+  /** The sender first, then others that it tells of. */
+  readonly members: ReadonlyArray<Member>;
+}
+
+/** Largest datagram taken, inflated, in bytes. */
+const MAX_MESSAGE_BYTES = 65_536;
+
+type MemberFields = readonly [
+  memberId: string,
+  incarnation: string,
+  startedAtEpochMs: number,
+  version: number,
+  state: MemberState,
+  dataCentre: string,
+  address: string,
+  peerPort: number,
+  callerPort: number,
+  processorCores: number,
+];
+
+type MessageFields = readonly [
+  kind: FleetMessageKind,
+  number: number,
+  configurationVersion: number,
+  leafsRevision: number,
+  members: ReadonlyArray<MemberFields>,
+];
+
+/**
+ * Writes a datagram.
+ *
+ * @param message - What it says.
+ * @returns Its bytes.
+ */
+export function encodeFleetMessage({ kind, number, progress, members }: FleetMessage): Buffer {
+  const { configurationVersion, leafsRevision } = progress;
+  const listed = members.map(toFields);
+  const fields: MessageFields = [kind, number, configurationVersion, leafsRevision, listed];
+  return deflateRawSync(JSON.stringify(fields));
+}
+
+/**
+ * Reads a datagram. Boxes trust one another; only what is no message at all is turned away.
+ *
+ * @param data - Its bytes.
+ * @returns What it says, or nothing where it is no message.
+ */
+export function decodeFleetMessage(data: Buffer): FleetMessage | undefined {
+  try {
+    const text = inflateRawSync(data, { maxOutputLength: MAX_MESSAGE_BYTES }).toString("utf8");
+    const fields = JSON.parse(text) as MessageFields;
+    const [kind, number, configurationVersion, leafsRevision, listed] = fields;
+    const progress = { configurationVersion, leafsRevision };
+    return { kind, number, progress, members: listed.map(fromFields) };
+  } catch {
+    return undefined;
+  }
+}
+
+function toFields(member: Member): MemberFields {
+  return [
+    member.memberId,
+    member.incarnation,
+    member.startedAtEpochMs,
+    member.version,
+    member.state,
+    member.dataCentre,
+    member.address,
+    member.peerPort,
+    member.callerPort,
+    member.processorCores ?? 0,
+  ];
+}
+
+/** On the users' platform a box has one daemon, named as the box, that faces callers. */
+function fromFields(fields: MemberFields): Member {
+  const [memberId, incarnation, startedAtEpochMs, version, state, dataCentre, ...rest] = fields;
+  const [address, peerPort, callerPort, processorCores] = rest;
+  const place = {
+    role: "entry",
+    box: memberId,
+    dataCentre,
+    address,
+    peerPort,
+    callerPort,
+  } as const;
+  const member: Member = { memberId, incarnation, startedAtEpochMs, version, state, ...place };
+  return processorCores > 0 ? { ...member, processorCores } : member;
+}
--- /dev/null
+++ b/box/fleet_messages_test.ts
@@ -0,0 +1,49 @@
+import { deflateRawSync } from "node:zlib";
+import t from "tap";
+import type { Member } from "../model/mod.js";
+import { decodeFleetMessage, encodeFleetMessage, type FleetMessage } from "./fleet_messages.js";
+
+const MEMBER: Member = {
+  memberId: "box-1",
+  incarnation: "0a1b2c3d4e5f",
+  startedAtEpochMs: 1_700_000_000_000,
+  version: 3,
+  state: "alive",
+  role: "entry",
+  box: "box-1",
+  dataCentre: "hall-a",
+  address: "10.1.0.9",
+  peerPort: 8106,
+  callerPort: 8104,
+};
+
+const MESSAGE: FleetMessage = {
+  kind: "ask",
+  number: 7,
+  progress: { configurationVersion: 12, leafsRevision: 345 },
+  members: [
+    { ...MEMBER, processorCores: 0.675 },
+    { ...MEMBER, memberId: "box-2", box: "box-2" },
+  ],
+};
+
+t.test("decodeFleetMessage() reads what encodeFleetMessage() wrote", async (t) => {
+  t.same(decodeFleetMessage(encodeFleetMessage(MESSAGE)), MESSAGE);
+});
+
+t.test("a message with many members stays small", async (t) => {
+  const members = Array.from({ length: 15 }, (_, index) => {
+    const name = `box-${index}`;
+    const incarnation = (index * 7919 * 104729).toString(16).padStart(12, "0");
+    return { ...MEMBER, memberId: name, box: name, incarnation, address: `10.1.0.${index}` };
+  });
+  t.ok(encodeFleetMessage({ ...MESSAGE, members }).length < 700);
+});
+
+t.test("decodeFleetMessage() turns away what is no message", async (t) => {
+  const noMessages = ["", "{}", "[]", "null", "[1,2,3]"].map((text) => deflateRawSync(text));
+  const tooLong = deflateRawSync(`["ask",1,1,1,[]${" ".repeat(70_000)}]`);
+  for (const data of [Buffer.from("garbage"), Buffer.alloc(0), tooLong, ...noMessages]) {
+    t.equal(decodeFleetMessage(data), undefined);
+  }
+});
--- a/box/peer_catch_up.ts
+++ b/box/peer_catch_up.ts
@@ -5,17 +5,18 @@
  */
 import { Client } from "undici";
 import type { Member } from "../model/mod.js";
-import type { BoxKnowledge, SharedKnowledge } from "./box_knowledge.js";
+import type { BoxKnowledge } from "./box_knowledge.js";
 import type { BoxTelemetry } from "./box_telemetry.js";
-import type { Progress } from "./fleet_link.js";
-
-/** Path at which peers hand over what they know. */
-export const KNOWLEDGE_PATH = "/peer/v1/knowledge";
+import type { Progress } from "./fleet_messages.js";
+import { decodeShared, knowledgeUrl } from "./shared_knowledge.js";
 
 /** Time that a peer has to hand over what it knows, in milliseconds. */
 const PEER_ANSWER_MS = 1_000;
 
-/** Time that the store's own news has to come before a peer is asked, in milliseconds. */
+/**
+ * Time that news has to come from the store, or from a box near, before a peer is asked, in
+ * milliseconds.
+ */
 const PEER_WAIT_MS = 600;
 
 /** What catching up works on. */
@@ -23,6 +24,8 @@
   /** Name of this box. */
   readonly box: string;
   readonly knowledge: BoxKnowledge;
+  /** Tells whether a box is in this one's region. */
+  readonly isNear: (member: Member) => boolean;
   readonly telemetry: BoxTelemetry;
 }
 
@@ -50,15 +53,18 @@
       return;
     }
     this.#fetching = true;
-    // The store's own news is usually under way; a peer is asked where it has not come by then.
-    setTimeout(() => {
-      const fetched = isAhead(progress, knowledge.progress)
-        ? this.#fetchFrom(member)
-        : Promise.resolve();
-      void fetched.finally(() => {
-        this.#fetching = false;
-      });
-    }, PEER_WAIT_MS);
+    const isExpected = knowledge.isWatcher || !this.#options.isNear(member);
+    setTimeout(
+      () => {
+        const fetched = isAhead(progress, knowledge.progress)
+          ? this.#fetchFrom(member)
+          : Promise.resolve();
+        void fetched.finally(() => {
+          this.#fetching = false;
+        });
+      },
+      isExpected ? PEER_WAIT_MS : 0,
+    );
   }
 
   async #fetchFrom({ address, peerPort, box }: Member): Promise<void> {
@@ -67,10 +73,10 @@
     try {
       const answer = await client.request({
         method: "GET",
-        path: KNOWLEDGE_PATH,
+        path: knowledgeUrl(knowledge.progress),
         signal: AbortSignal.timeout(PEER_ANSWER_MS),
       });
-      knowledge.takeOver((await answer.body.json()) as SharedKnowledge);
+      knowledge.takeOver(decodeShared(Buffer.from(await answer.body.arrayBuffer())));
       telemetry.event("info", "fleet: took over from peer", { member: box });
     } catch (error) {
       const reason = (error as Error).message;
--- a/box/registry_watch.ts
+++ b/box/registry_watch.ts
@@ -84,6 +84,8 @@
   #revision: number | undefined;
   #failures = 0;
   #hasListed = false;
+  #isWanted = true;
+  #onWanted: () => void = () => undefined;
 
   /**
    * @param options - What is watched.
@@ -97,6 +99,12 @@
   /** Watches until `stop()` is called. */
   async run(): Promise<void> {
     while (!this.#stopped) {
+      if (!this.#isWanted) {
+        await new Promise<void>((resolve) => {
+          this.#onWanted = resolve;
+        });
+        continue;
+      }
       const pauseMs = this.#revision === undefined ? await this.#list() : await this.#watch();
       if (pauseMs > 0) {
         await new Promise((resolve) => setTimeout(resolve, pauseMs));
@@ -107,6 +115,26 @@
   /** Ends the watch after the call under way. */
   stop(): void {
     this.#stopped = true;
+    this.#onWanted();
+  }
+
+  /** Makes no more calls after the one under way, until it is resumed. */
+  pause(): void {
+    this.#isWanted = false;
+    this.#failures = 0;
+  }
+
+  /**
+   * Goes on watching.
+   *
+   * @param revision - Revision that was reached by other ways meanwhile; 0 for none.
+   */
+  resume(revision: number): void {
+    if (revision > (this.#revision ?? 0)) {
+      this.#revision = revision;
+    }
+    this.#isWanted = true;
+    this.#onWanted();
   }
 
   async #list(): Promise<number> {
--- a/box/registry_watch_test.ts
+++ b/box/registry_watch_test.ts
@@ -74,3 +74,36 @@
   const { heard } = await runWatch([DOWN, DOWN, NOTHING]);
   t.same(heard, ["list", "lost", "regained"]);
 });
+
+t.test(
+  "a watch that is paused makes no call, and goes on from what was learnt meanwhile",
+  async (t) => {
+    const calls: Array<string> = [];
+    const store: Store = {
+      list: async () => {
+        calls.push("list");
+        return ok({ objects: [], revision: 7 });
+      },
+      watch: async (_kind, { sinceRevision }) => {
+        calls.push(`watch ${sinceRevision}`);
+        watch.stop();
+        return NOTHING;
+      },
+    };
+    const silent = (): void => undefined;
+    const watch = new RegistryWatch(
+      { store, kind: "leafs", waitMs: 2_000, mayBeStale: true },
+      {
+        ...{ onList: silent, onChanges: silent, onHeard: silent },
+        ...{ onHistoryGone: silent, onLost: silent, onRegained: silent },
+      },
+    );
+    watch.pause();
+    const ended = watch.run();
+    await new Promise((resolve) => setImmediate(resolve));
+    t.same(calls, []);
+    watch.resume(42);
+    await ended;
+    t.same(calls, ["watch 42"]);
+  },
+);
--- a/box/side_servers.ts
+++ b/box/side_servers.ts
@@ -12,8 +12,13 @@
   type SocketAddress,
 } from "../platform/mod.js";
 import { answerRelay, RELAY_PATH, type RelayServerOptions } from "../relay/mod.js";
-import type { SharedKnowledge } from "./box_knowledge.js";
-import { KNOWLEDGE_PATH } from "./peer_catch_up.js";
+import type { Progress } from "./fleet_messages.js";
+import {
+  decodeKnowledgeUrl,
+  encodeShared,
+  KNOWLEDGE_PATH,
+  type SharedKnowledge,
+} from "./shared_knowledge.js";
 
 /** Where metrics are served. */
 export interface MetricsPlace {
@@ -36,8 +41,8 @@
   readonly advise: (region: string) => ReadonlyArray<SocketAddress>;
   /** Tells how long callers may keep that, in milliseconds. */
   readonly keepMs: () => number;
-  /** Gives what peers that are behind may take over. */
-  readonly share: () => SharedKnowledge;
+  /** Gives what a peer that is behind may take over. */
+  readonly share: (progress: Progress) => SharedKnowledge;
   /** What orders of other boxes are answered from. */
   readonly relay: RelayServerOptions;
   readonly metrics: MetricsPlace | undefined;
@@ -89,8 +94,12 @@
       answerRelay(request, response, relay);
       return;
     }
-    const isKnown = request.url === KNOWLEDGE_PATH;
-    writeText(response, isKnown ? 200 : 404, isKnown ? JSON.stringify(share()) : "");
+    const url = request.url ?? "";
+    if (url.startsWith(KNOWLEDGE_PATH)) {
+      response.end(encodeShared(share(decodeKnowledgeUrl(url))));
+    } else {
+      writeText(response, 404, "");
+    }
   };
 }
 
--- a/model/member.ts
+++ b/model/member.ts
@@ -29,4 +29,6 @@
   readonly peerPort: number;
   /** Port for callers and operators; 0 on a pool. */
   readonly callerPort: number;
+  /** Processor that the daemon may use, in cores; not told where the box has no limit. */
+  readonly processorCores?: number;
 }
