Ask leafs of the region's other data centre through a box there; rest no call that must not run twice

A leaf may also forget a connection that rests, and a settlement sent on it cannot be told from one that ran. Change: RelayPlaces names where a box asks leafs for this one: a region, or another data centre of the own region. A call that may not be repeated goes out on a connection that rested no longer than 200 ms, or on a new one, within the box's share.

--- a/box/box_shell.ts
+++ b/box/box_shell.ts
@@ -6,7 +6,6 @@
 import { randomBytes } from "node:crypto";
 import type { Server } from "node:http";
 import { LeafCalls } from "../calls/mod.js";
-import type { Distance, Leaf } from "../leafs/mod.js";
 import {
   type Lifecycle,
   type LifecycleEvent,
@@ -25,6 +24,7 @@
 import { FleetLink } from "./fleet_link.js";
 import { PeerCatchUp } from "./peer_catch_up.js";
 import { watchWaitMs } from "./registry_watch.js";
+import { RelayPlaces } from "./relay_places.js";
 import { RequestIntake } from "./request_intake.js";
 import { RequestRunner } from "./request_runner.js";
 import { type CompiledPolicies, RoutePolicies } from "./route_policies.js";
@@ -115,17 +115,17 @@
       slackCalls: () => this.#settings.extraCallSlack,
       countBoxes: () => this.#countBoxes(),
     });
-    const regionOf = (dataCentre: string): string => {
-      return settings.regions.get(dataCentre) ?? dataCentre;
-    };
+    const places = new RelayPlaces({
+      dataCentre: settings.dataCentre,
+      regionOf: (dataCentre) => settings.regions.get(dataCentre) ?? dataCentre,
+      servingBoxes: (region) => this.#servingBoxes(region),
+    });
     this.#runner = new RequestRunner({
       nowMs,
       calls: this.#calls,
       leafs: () => this.#knowledge.leafs,
-      distance: (leaf) => this.#distance(leaf),
-      regionOf,
+      places,
       relays: new RelayCalls(nowMs),
-      boxesIn: (region) => this.#servingBoxes(region),
       creditRequest: (service) => this.#budgets.credit(service),
       takeExtraCall: (service, kind) => {
         const allowed = this.#budgets.take(service, kind);
@@ -133,9 +133,7 @@
         return allowed;
       },
     });
-    const isNear = ({ dataCentre }: Member): boolean => {
-      return regionOf(dataCentre) === regionOf(settings.dataCentre);
-    };
+    const isNear = ({ dataCentre }: Member): boolean => places.isNear(dataCentre);
     const knowledge = this.#knowledge;
     const catchUp = new PeerCatchUp({ box: settings.box, knowledge, isNear, telemetry });
     this.#fleet = new FleetLink({
@@ -183,7 +181,7 @@
           nowMs,
           calls: this.#calls,
           leafs: () => this.#knowledge.leafs,
-          distance: (leaf) => this.#distance(leaf),
+          distance: (leaf) => places.distance(leaf),
           onParts: (count) => telemetry.relayedParts.inc(count),
         },
         metrics,
@@ -344,14 +342,6 @@
     return Math.max(1, Math.min(MOST_CONNECTIONS, share));
   }
 
-  #distance(leaf: Leaf): Distance {
-    const { dataCentre, regions } = this.#settings;
-    if (leaf.dataCentre === dataCentre) {
-      return "zone";
-    }
-    return regions.get(leaf.dataCentre) === regions.get(dataCentre) ? "region" : "far";
-  }
-
   #tidy(): void {
     this.#serving.clear();
     this.#calls.dropOverdue();
--- a/box/request_runner.ts
+++ b/box/request_runner.ts
@@ -5,13 +5,7 @@
  */
 import type { LeafCalls, OpenCall } from "../calls/mod.js";
 import type { Step } from "../core/mod.js";
-import {
-  chooseLeaf,
-  type Distance,
-  type Leaf,
-  type LeafTable,
-  type Placement,
-} from "../leafs/mod.js";
+import { chooseLeaf, type Leaf, type LeafTable, type Placement } from "../leafs/mod.js";
 import type { ExtraCallKind } from "../limits/mod.js";
 import type { Member } from "../model/mod.js";
 import type { RelayCalls } from "../relay/mod.js";
@@ -28,6 +22,7 @@
   stepRequest,
 } from "../request/mod.js";
 import { RunOrders } from "./_run_orders.js";
+import type { RelayPlaces } from "./relay_places.js";
 
 /** A request as it is handed to leafs. */
 export interface ForwardedRequest {
@@ -82,12 +77,8 @@
   readonly nowMs: () => number;
   readonly calls: LeafCalls;
   readonly leafs: () => LeafTable;
-  readonly distance: (leaf: Leaf) => Distance;
-  /** Region of a data centre. */
-  readonly regionOf: (dataCentre: string) => string;
+  readonly places: RelayPlaces;
   readonly relays: RelayCalls;
-  /** Boxes of a region that can be given work. */
-  readonly boxesIn: (region: string) => ReadonlyArray<Member>;
   readonly creditRequest: (service: string) => void;
   readonly takeExtraCall: (service: string, kind: ExtraCallKind) => boolean;
 }
@@ -222,8 +213,9 @@
       queueMicrotask(() => this.take({ kind: "attemptEnded", attemptId, outcome }));
       return;
     }
-    const { requestId } = this.#options.terms;
-    const call = { leaf, requestId, ...this.#options.forwarded, deadlineAtMs };
+    const { requestId, route } = this.#options.terms;
+    const { repeatable } = route;
+    const call = { leaf, requestId, ...this.#options.forwarded, repeatable, deadlineAtMs };
     const open = this.#box.calls.send(call, (outcome) => {
       this.#openCalls.delete(attemptId);
       this.#noteEnd(leafId, outcome);
@@ -242,23 +234,23 @@
 
   #world(): RequestWorld {
     const nowMs = this.#box.nowMs();
-    const { boxesIn, calls, distance, leafs, regionOf, relays, takeExtraCall } = this.#box;
+    const { calls, leafs, places, relays, takeExtraCall } = this.#box;
     return {
       nowMs,
       chooseLeaf: (service, excluded) => {
         const condition = (leafId: string) => calls.condition(leafId);
         const { placement } = this.#options;
+        const distance = (leaf: Leaf) => places.distance(leaf);
         const view = { nowMs, condition, distance, excluded, placement };
         const chosen = chooseLeaf(leafs().byService.get(service) ?? [], view);
         if (chosen === undefined) {
           return undefined;
         }
         const { leaf, usualMs } = chosen;
-        const farRegion = chosen.distance === "far" ? regionOf(leaf.dataCentre) : undefined;
-        return { leafId: leaf.leafId, expectedMs: usualMs, farRegion };
+        return { leafId: leaf.leafId, expectedMs: usualMs, relayPlace: places.placeOf(leaf) };
       },
-      chooseBox: (region) => {
-        const chosen = relays.choose(boxesIn(region));
+      chooseBox: (relayPlace) => {
+        const chosen = relays.choose(places.boxesAt(relayPlace));
         if (chosen === undefined) {
           return undefined;
         }
--- a/calls/leaf_calls.ts
+++ b/calls/leaf_calls.ts
@@ -30,6 +30,8 @@
   /** The caller's headers that are passed on, names and values by turns. */
   readonly headers: ReadonlyArray<string>;
   readonly body: Buffer | undefined;
+  /** Whether it may run more than once. */
+  readonly repeatable: boolean;
   /** Moment at which the answer is of no more use, on this box's clock. */
   readonly deadlineAtMs: number;
 }
@@ -225,6 +227,10 @@
     return this.#ended;
   }
 
+  get isRepeatable(): boolean {
+    return this.#call.repeatable;
+  }
+
   options(): Dispatcher.DispatchOptions {
     const { leaf, method, path, headers, body, deadlineAtMs } = this.#call;
     const leftMs = Math.max(1, Math.floor(deadlineAtMs - this.#nowMs()));
--- a/calls/leaf_calls_test.ts
+++ b/calls/leaf_calls_test.ts
@@ -37,12 +37,13 @@
 interface CallOptions {
   readonly requestId?: string;
   readonly leftMs?: number;
+  readonly repeatable?: boolean;
 }
 
 function call(
   calls: LeafCalls,
   port: number,
-  { requestId = "r1", leftMs = 1_000 }: CallOptions = {},
+  { requestId = "r1", leftMs = 1_000, repeatable = true }: CallOptions = {},
 ): Promise<AttemptOutcome> {
   return new Promise((resolve) => {
     calls.send(
@@ -53,6 +54,7 @@
         path: "/x",
         headers: ["Host", "h", LEAF_HEADERS.requestId, requestId],
         body: undefined,
+        repeatable,
         deadlineAtMs: performance.now() + leftMs,
       },
       resolve,
@@ -177,3 +179,27 @@
     t.equal(outcome.kind, end === "end" ? "answered" : "failed", end);
   }
 });
+
+t.test("a call that must not run twice is not sent on a connection that has rested", async (t) => {
+  let connections = 0;
+  const server = createServer((request, response) => {
+    response.setHeader(LEAF_HEADERS.requestId, String(request.headers[LEAF_HEADERS.requestId]));
+    response.end("x");
+  });
+  server.on("connection", () => {
+    connections += 1;
+  });
+  await new Promise<void>((resolve) => server.listen(0, LOOPBACK, resolve));
+  t.teardown(() => {
+    server.closeAllConnections();
+    server.close();
+  });
+  const calls = makeCalls(1);
+  t.match(await call(calls, portOf(server), { repeatable: false }), { kind: "answered" });
+  await new Promise((resolve) => setTimeout(resolve, 300));
+  t.match(await call(calls, portOf(server), { repeatable: true }), { kind: "answered" });
+  t.equal(connections, 1, "one that may be sent again takes the connection that is there");
+  await new Promise((resolve) => setTimeout(resolve, 300));
+  t.match(await call(calls, portOf(server), { repeatable: false }), { kind: "answered" });
+  t.equal(connections, 2, "the other one takes a new connection, within the share");
+});
--- a/calls/leaf_connection.ts
+++ b/calls/leaf_connection.ts
@@ -35,6 +35,7 @@
   #socket: Socket = null;
   #busy = false;
   #closed = false;
+  #restsSinceMs = performance.now();
   #broken = false;
 
   /**
@@ -54,6 +55,7 @@
           return;
         }
         this.#socket = socket;
+        this.#restsSinceMs = performance.now();
         this.#client = this.#clientOn(`http://${address}:${port}`, socket);
         listener.onOpen(this);
       },
@@ -73,6 +75,11 @@
     return this.#broken;
   }
 
+  /** Time since its last call ended, or since it came up, in milliseconds. */
+  get restedMs(): number {
+    return performance.now() - this.#restsSinceMs;
+  }
+
   /** Whether a call can be sent on it now. */
   get isFree(): boolean {
     return this.isOpen && !this.#busy;
@@ -92,6 +99,7 @@
   /** Says that the call on it has ended. */
   release(): void {
     this.#busy = false;
+    this.#restsSinceMs = performance.now();
   }
 
   /** Closes the connection; a call on it fails. */
--- a/calls/leaf_line.ts
+++ b/calls/leaf_line.ts
@@ -11,6 +11,8 @@
 export interface WaitingCall extends Dispatcher.DispatchHandler {
   /** Whether it is of no more use and is to be passed over. */
   readonly isEnded: boolean;
+  /** Whether it may be sent again if its connection turns out to be gone. */
+  readonly isRepeatable: boolean;
   /** Makes the request, with the time that is left at this moment. */
   options(): Dispatcher.DispatchOptions;
   /** Told when no connection could be opened for it: nothing was sent. */
@@ -23,6 +25,13 @@
  */
 const REFUSED_MS = 150;
 
+/**
+ * Longest time that a connection may have rested to carry a call that must not be sent twice, in
+ * milliseconds: a leaf may have forgotten it, and then it cannot be told whether the call has run. A
+ * new connection costs about a millisecond at such services.
+ */
+const MOST_RESTED_MS = 200;
+
 /** What a line needs of its box. */
 export interface LeafLineOptions {
   /** Requests that the leaf runs at the same time. */
@@ -87,12 +96,7 @@
       if (this.#waiting.length === 0) {
         break;
       }
-      if (connection.isFree) {
-        const call = this.#waiting.shift();
-        if (call !== undefined) {
-          this.#sendOn(connection, call);
-        }
-      }
+      this.#serveOn(connection);
     }
     this.#openMore();
     if (this.#closing) {
@@ -100,6 +104,22 @@
     }
   }
 
+  #serveOn(connection: LeafConnection): void {
+    if (!connection.isFree) {
+      return;
+    }
+    const [call, ...others] = this.#waiting;
+    if (call === undefined) {
+      return;
+    }
+    if (!call.isRepeatable && connection.restedMs > MOST_RESTED_MS) {
+      connection.close();
+      return;
+    }
+    this.#waiting = others;
+    this.#sendOn(connection, call);
+  }
+
   #sendOn(connection: LeafConnection, call: WaitingCall): void {
     connection.send(call.options(), new ReleasingHandler(call, connection, this));
   }
--- a/relay/_merged_relay.ts
+++ b/relay/_merged_relay.ts
@@ -90,7 +90,7 @@
       return 0;
     }
     const { requestId, method, path, headers, leftMs } = this.#order;
-    const call = { requestId, method, path, headers, body: undefined };
+    const call = { requestId, method, path, headers, body: undefined, repeatable: true };
     this.#openCount += 1;
     const open = calls.send(
       { ...call, leaf: chosen.leaf, deadlineAtMs: now + leftMs },
--- a/relay/_separate_relay.ts
+++ b/relay/_separate_relay.ts
@@ -44,7 +44,7 @@
       return false;
     }
     const { requestId, method, path, headers, leftMs } = this.#order;
-    const call = { requestId, method, path, headers, body: undefined };
+    const call = { requestId, method, path, headers, body: undefined, repeatable: true };
     this.#openCount += 1;
     const open = calls.send({ ...call, leaf, deadlineAtMs: nowMs() + leftMs }, (outcome) => {
       this.#openCount -= 1;
--- a/request/_attempts.ts
+++ b/request/_attempts.ts
@@ -117,7 +117,7 @@
 
 function sendAttempt(state: RequestState, { shardIndex, leaf, nowMs }: SentCall): AttemptStep {
   const attemptId = state.nextAttemptId;
-  const { leafId, expectedMs, farRegion } = leaf;
+  const { leafId, expectedMs, relayPlace } = leaf;
   const attempt: Attempt = { attemptId, asked: leafId, startedAtMs: nowMs, expectedMs };
   const opened = openAttempt(state, { shardIndex, attempt });
   const sent = updateShard(opened, shardIndex, (shard) => {
@@ -126,6 +126,6 @@
   const { deadlineAtMs } = state.terms;
   return step(
     { ...sent, nextAttemptId: attemptId + 1 },
-    { kind: "call", attemptId, shardIndex, leafId, farRegion, deadlineAtMs },
+    { kind: "call", attemptId, shardIndex, leafId, relayPlace, deadlineAtMs },
   );
 }
--- a/request/_far_calls.ts
+++ b/request/_far_calls.ts
@@ -1,5 +1,5 @@
 /**
- * Sends calls to leafs of another region through one box there: it sends back only the records that
+ * Sends calls to leafs elsewhere through one box near them: it sends back only the records that
  * can still be among the greatest, which is a fraction of a part's bytes.
  *
  * @module
@@ -12,8 +12,8 @@
 type CallEffect = Extract<RequestEffect, { readonly kind: "call" }>;
 
 /**
- * Turns the calls to far leafs in a step into orders to boxes near these leafs, one a region. Calls
- * to a region without a box to rely on stay as they are.
+ * Turns the calls to leafs elsewhere in a step into orders to boxes near them, one a place. Calls to a
+ * place without a box to rely on stay as they are.
  *
  * @param made - The step with its calls.
  * @param world - What the box can choose from.
@@ -25,12 +25,12 @@
   if (target.kind !== "gather" || !effects.some(isFar)) {
     return made;
   }
-  const regions = groupByRegion(effects.filter(isFar));
+  const places = groupByPlace(effects.filter(isFar));
   const orders: Array<RequestEffect> = [];
   const bundled = new Set<RequestEffect>();
   const leastRecord = recordFloor(lastingParts(state), target);
-  for (const [region, calls] of regions) {
-    const box = world.chooseBox(region);
+  for (const [place, calls] of places) {
+    const box = world.chooseBox(place);
     if (box !== undefined) {
       const { deadlineAtMs } = state.terms;
       const far = calls.map((call) => farCall(state, call));
@@ -43,19 +43,19 @@
   return step(state, ...effects.filter((effect) => !bundled.has(effect)), ...orders);
 }
 
-function groupByRegion(
+function groupByPlace(
   calls: ReadonlyArray<CallEffect>,
 ): ReadonlyMap<string, ReadonlyArray<CallEffect>> {
-  const regions = new Map<string, Array<CallEffect>>();
+  const places = new Map<string, Array<CallEffect>>();
   for (const call of calls) {
-    const region = call.farRegion ?? "";
-    regions.set(region, [...(regions.get(region) ?? []), call]);
+    const place = call.relayPlace ?? "";
+    places.set(place, [...(places.get(place) ?? []), call]);
   }
-  return regions;
+  return places;
 }
 
 function isFar(effect: RequestEffect): effect is CallEffect {
-  return effect.kind === "call" && effect.farRegion !== undefined;
+  return effect.kind === "call" && effect.relayPlace !== undefined;
 }
 
 function farCall(state: RequestState, { attemptId, shardIndex, leafId }: CallEffect): FarCall {
--- a/request/_plan.ts
+++ b/request/_plan.ts
@@ -1,6 +1,6 @@
 /**
- * Plans the first calls of a request: leafs near this box directly, those of another region through
- * one box there, which merges, so that few bytes pass between regions.
+ * Plans the first calls of a request: leafs near this box directly, those of another data centre or
+ * region through one box there, which merges, so that few bytes pass between them.
  *
  * @module
  */
@@ -45,7 +45,7 @@
     const leaf = world.chooseLeaf(shard.service, shard.asked);
     if (leaf === undefined) {
       unserved.push(shardIndex);
-    } else if (leaf.farRegion === undefined) {
+    } else if (leaf.relayPlace === undefined) {
       near.push({ shardIndex, leaf });
     } else {
       far.push({ shardIndex, choices: farChoices(leaf, shard.service, world) });
@@ -53,8 +53,8 @@
   });
   const direct = near;
   const relays: Array<RelayCall> = [];
-  for (const [region, calls] of gatherByRegion(far)) {
-    const box = calls.length < LEAST_RELAYED ? undefined : world.chooseBox(region);
+  for (const [place, calls] of gatherByPlace(far)) {
+    const box = calls.length < LEAST_RELAYED ? undefined : world.chooseBox(place);
     if (box === undefined) {
       direct.push(...calls);
     } else {
@@ -83,27 +83,27 @@
 ): ReadonlyArray<LeafChoice> {
   const second = world.chooseLeaf(service, new Set([best.leafId]));
   const isEqual =
-    second?.farRegion !== undefined && second.expectedMs <= best.expectedMs * MOST_SLOWER;
+    second?.relayPlace !== undefined && second.expectedMs <= best.expectedMs * MOST_SLOWER;
   return isEqual ? [best, second] : [best];
 }
 
-/** Puts shards that can go to several regions where the most of the others go. */
-function gatherByRegion(
+/** Puts shards that can go to several places where the most of the others go. */
+function gatherByPlace(
   far: ReadonlyArray<FarShard>,
 ): ReadonlyMap<string, ReadonlyArray<DirectCall>> {
   const scores = new Map<string, number>();
   for (const { choices } of far) {
-    for (const { farRegion = "", expectedMs } of choices) {
-      scores.set(farRegion, (scores.get(farRegion) ?? 0) + 1 / Math.max(1, expectedMs));
+    for (const { relayPlace = "", expectedMs } of choices) {
+      scores.set(relayPlace, (scores.get(relayPlace) ?? 0) + 1 / Math.max(1, expectedMs));
     }
   }
   const [main] = [...scores].sort(([, a], [, b]) => b - a)[0] ?? [];
   const groups = new Map<string, Array<DirectCall>>();
   for (const { shardIndex, choices } of far) {
-    const leaf = choices.find(({ farRegion }) => farRegion === main) ?? choices[0];
-    if (leaf?.farRegion !== undefined) {
-      const group = groups.get(leaf.farRegion) ?? [];
-      groups.set(leaf.farRegion, [...group, { shardIndex, leaf }]);
+    const leaf = choices.find(({ relayPlace }) => relayPlace === main) ?? choices[0];
+    if (leaf?.relayPlace !== undefined) {
+      const group = groups.get(leaf.relayPlace) ?? [];
+      groups.set(leaf.relayPlace, [...group, { shardIndex, leaf }]);
     }
   }
   return groups;
--- a/request/request_core_test.ts
+++ b/request/request_core_test.ts
@@ -38,7 +38,7 @@
   readonly extraCalls?: number;
   readonly far?: boolean;
   /** Ends of the leafs' ids that lie in another region; "a" by default. */
-  readonly farLeafs?: ReadonlyArray<string>;
+  readonly relayedLeafs?: ReadonlyArray<string>;
   readonly finishShare?: number;
 }
 
@@ -48,15 +48,20 @@
   effects: ReadonlyArray<RequestEffect> = [];
   nowMs = 0;
   extraCalls: number;
-  readonly farLeafs: ReadonlyArray<string>;
+  readonly relayedLeafs: ReadonlyArray<string>;
   leafs: ReadonlyArray<string> = ["a", "b"];
   /** Whether another region has a box to rely on. */
   hasBox = true;
 
   constructor(route: Route, options: DriverOptions = {}) {
-    const { extraCalls = 10, far = false, farLeafs = far ? ["a"] : [], finishShare = 1 } = options;
+    const {
+      extraCalls = 10,
+      far = false,
+      relayedLeafs = far ? ["a"] : [],
+      finishShare = 1,
+    } = options;
     this.extraCalls = extraCalls;
-    this.farLeafs = farLeafs;
+    this.relayedLeafs = relayedLeafs;
     const terms = {
       requestId: "r",
       route,
@@ -77,9 +82,9 @@
       chooseLeaf: (service, excluded) => {
         const leafIds = this.leafs.map((leaf) => `${service}-${leaf}`);
         const leafId = leafIds.find((each) => !excluded.has(each));
-        const isFar = this.farLeafs.some((end) => leafId?.endsWith(`-${end}`));
-        const farRegion = isFar ? "south" : undefined;
-        return leafId === undefined ? undefined : { leafId, expectedMs: 5, farRegion };
+        const isFar = this.relayedLeafs.some((end) => leafId?.endsWith(`-${end}`));
+        const relayPlace = isFar ? "south" : undefined;
+        return leafId === undefined ? undefined : { leafId, expectedMs: 5, relayPlace };
       },
       chooseBox: (region) => {
         return this.hasBox ? { box: `box in ${region}`, expectedMs: 5 } : undefined;
@@ -292,7 +297,7 @@
 t.test(
   "second calls to far leafs go through one box there, which sends what still counts",
   async (t) => {
-    const driver = new Driver(GATHER_MANY, { farLeafs: ["b"] });
+    const driver = new Driver(GATHER_MANY, { relayedLeafs: ["b"] });
     driver.end(1, answered(200, "one", 5));
     driver.end(2, answered(200, "two", 7));
     driver.nowMs = 40;
@@ -314,14 +319,14 @@
 );
 
 t.test("the floor counts no part that a box may still replace", async (t) => {
-  const driver = new Driver(GATHER, { farLeafs: ["a"] });
+  const driver = new Driver(GATHER, { relayedLeafs: ["a"] });
   driver.nowMs = 40;
   driver.take({ kind: "timer", timer: "hedge" });
   driver.end(2, answered(200, "direct", 9));
   t.same(driver.state.shards[0]?.part?.signature, "direct");
   t.equal(driver.state.shards[0]?.open.length, 1, "the box's part of the shard may still come");
   driver.leafs = ["a", "b", "c"];
-  const far = new Driver(GATHER, { farLeafs: ["a", "b", "c"] });
+  const far = new Driver(GATHER, { relayedLeafs: ["a", "b", "c"] });
   far.leafs = ["a", "b", "c"];
   const parts = {
     signatures: new Map([["s1", "x"]]),
--- a/request/request_state.ts
+++ b/request/request_state.ts
@@ -141,11 +141,11 @@
       readonly attemptId: number;
       readonly shardIndex: number;
       readonly leafId: string;
-      /** Region of the leaf where it is another than this box's. */
-      readonly farRegion: string | undefined;
+      /** Where a box near the leaf stands, if it had better be asked through one. */
+      readonly relayPlace: string | undefined;
       readonly deadlineAtMs: number;
     }
-  /** Asks leafs of another region through one box there, each part by itself. */
+  /** Asks leafs elsewhere through one box near them, each part by itself. */
   | {
       readonly kind: "askThrough";
       readonly box: string;
@@ -192,8 +192,8 @@
   readonly leafId: string;
   /** Time in which it is expected to answer, in milliseconds. */
   readonly expectedMs: number;
-  /** Region of the leaf where it is another than this box's. */
-  readonly farRegion: string | undefined;
+  /** Where a box near the leaf stands, if it had better be asked through one. */
+  readonly relayPlace: string | undefined;
 }
 
 /** A box that may be asked for the parts of leafs near it. */
@@ -208,8 +208,8 @@
   readonly nowMs: number;
   /** Picks the leaf to ask next, or nothing where there is none but those excluded. */
   chooseLeaf(service: string, excluded: ReadonlySet<string>): LeafChoice | undefined;
-  /** Picks a box of a region to ask through, or nothing where there is none to rely on. */
-  chooseBox(region: string): BoxChoice | undefined;
+  /** Picks a box at a place to ask through, or nothing where there is none to rely on. */
+  chooseBox(relayPlace: string): BoxChoice | undefined;
   /** Takes a call beyond the first out of the service's budget, if that allows it. */
   takeExtraCall(service: string, kind: ExtraCallKind): boolean;
 }
