Soak real programs under faults from outside

Change: fault_soak/ runs four boxes as processes before stand-ins of store and leafs, each behind a loopback proxy (delay, reset, cut one way, silence), with signals (stop, pause, kill and restart, which overlap), a store that is silent, down, slow, forgets or is cut from one box, leafs that fill, fail or are replaced, and configurations in between. Checked from what callers and leafs see: own parts once, truthful counts, greatest records, leafs' own answers, no run twice, true refusals, configurations that never revert, draining leafs, planned stops, recovery.

--- /dev/null
+++ b/fault_soak/fault_handlers.ts
@@ -0,0 +1,166 @@
+/**
+ * Brings each kind of fault about, from outside the programs, and ends it again.
+ *
+ * @module
+ */
+import { pause } from "../standins/waiting.js";
+import type { FaultKind, PlannedFault } from "./fault_plan.js";
+import type { SoakBox, SoakFleet, SoakLeaf } from "./soak_fleet.js";
+
+/**
+ * Brings a fault about and ends it; tells whether it could happen at all.
+ *
+ * @param soak - The programs.
+ * @param fault - The fault.
+ */
+type FaultHandler = (soak: SoakFleet, fault: PlannedFault) => Promise<boolean>;
+
+/** Delay of a slow link and of a slow store, in milliseconds. */
+const SLOW_MS = { link: 120, store: 400 } as const;
+
+/** Time that a leaf that drains serves on, in milliseconds. */
+const DRAIN_MS = 3_500;
+
+/** Kinds that keep boxes from the store or from running, so that bounds on time begin anew after them. */
+export const DISTURBING_KINDS: ReadonlySet<FaultKind> = new Set([
+  "storeSilent",
+  "storeDown",
+  "storeSlow",
+  "storeForgets",
+  "boxCutFromStore",
+  "boxPaused",
+  "boxKilled",
+  "boxStopped",
+]);
+
+/** What brings each kind about. */
+export const FAULT_HANDLERS: Readonly<Record<FaultKind, FaultHandler>> = {
+  leafDelayed: onLeaf(async ({ link }, forMs) => {
+    link.harm({ delayMs: SLOW_MS.link });
+    await pause(forMs);
+    link.heal();
+  }),
+  leafReset: onLeaf(async ({ link }, forMs) => {
+    link.reset();
+    await pause(forMs / 2);
+    link.reset();
+  }),
+  leafCutOneWay: onLeaf(async ({ link }, forMs) => {
+    link.harm({ holdsAnswers: true });
+    await pause(forMs);
+    link.heal();
+  }),
+  leafSilent: onLeaf(async ({ link }, forMs) => {
+    link.harm({ holdsAnswers: true, holdsRequests: true });
+    await pause(forMs);
+    link.heal();
+  }),
+  leafFull: onLeaf(async ({ leaf }, forMs) => {
+    leaf.change({ full: true });
+    await pause(forMs);
+    leaf.change({ full: false });
+  }),
+  leafFails: onLeaf(async ({ leaf }, forMs) => {
+    leaf.change({ statusCode: 500 });
+    await pause(forMs);
+    leaf.change({ statusCode: 200 });
+  }),
+  leafReplaced: async (soak, { target }) => {
+    const old = pick(
+      soak.leafs.filter(({ drainingSinceMs }) => drainingSinceMs === Number.POSITIVE_INFINITY),
+      target,
+    );
+    if (old === undefined) {
+      return false;
+    }
+    await soak.addLeaf(old.service, old.dataCentre);
+    old.drainingSinceMs = performance.now();
+    old.leaf.drain();
+    await pause(DRAIN_MS);
+    soak.leafs.splice(soak.leafs.indexOf(old), 1);
+    return true;
+  },
+  storeSilent: onStore("silent"),
+  storeDown: onStore("down"),
+  storeSlow: async ({ fleet }, { forMs }) => {
+    fleet.platform.setFaults({ delayMs: SLOW_MS.store });
+    await pause(forMs);
+    fleet.platform.setFaults({ delayMs: 0 });
+    return true;
+  },
+  storeForgets: async ({ fleet }) => {
+    fleet.platform.compact();
+    return true;
+  },
+  boxCutFromStore: async ({ boxes }, { target, forMs }) => {
+    const hit = pick(boxes, target);
+    hit?.storeLink.harm({ holdsAnswers: true, holdsRequests: true });
+    await pause(forMs);
+    hit?.storeLink.heal();
+    hit?.storeLink.reset();
+    return hit !== undefined;
+  },
+  boxPaused: onBox(async ({ box }, forMs) => {
+    box.process.signal("SIGSTOP");
+    await pause(forMs);
+    box.process.signal("SIGCONT");
+  }),
+  boxKilled: onBox(async (hit, forMs, { fleet }) => {
+    hit.box.process.signal("SIGKILL");
+    await pause(forMs / 4);
+    await fleet.restart(hit.box);
+    hit.life += 1;
+  }),
+  boxStopped: onBox(async (hit, _forMs, { fleet }) => {
+    hit.isStopping = true;
+    hit.box.process.signal("SIGTERM");
+    await fleet.restart(hit.box);
+    hit.life += 1;
+    hit.isStopping = false;
+  }),
+  configurationChanged: async (soak) => {
+    soak.changeConfiguration();
+    return true;
+  },
+};
+
+function pick<T>(candidates: ReadonlyArray<T>, target: number): T | undefined {
+  return candidates[target % Math.max(1, candidates.length)];
+}
+
+function onLeaf(act: (hit: SoakLeaf, forMs: number) => Promise<void>): FaultHandler {
+  return async ({ leafs }, { target, forMs }) => {
+    const hit = pick(leafs, target);
+    if (hit === undefined) {
+      return false;
+    }
+    await act(hit, forMs);
+    return true;
+  };
+}
+
+function onStore(mode: "silent" | "down"): FaultHandler {
+  return async ({ fleet }, { forMs }) => {
+    fleet.platform.setFaults({ mode });
+    await pause(forMs);
+    fleet.platform.setFaults({ mode: "up" });
+    return true;
+  };
+}
+
+/** A box is ended or paused by one fault at a time; its other faults may overlap with that. */
+function onBox(act: (hit: SoakBox, forMs: number, soak: SoakFleet) => Promise<void>): FaultHandler {
+  return async (soak, { target, forMs }) => {
+    const hit = pick(
+      soak.boxes.filter(({ isHit }) => !isHit),
+      target,
+    );
+    if (hit === undefined) {
+      return false;
+    }
+    hit.isHit = true;
+    await act(hit, forMs, soak);
+    hit.isHit = false;
+    return true;
+  };
+}
--- /dev/null
+++ b/fault_soak/link_proxy.ts
@@ -0,0 +1,110 @@
+/**
+ * A loopback proxy before a leaf or the store, which harms what passes: delays it, holds it back one way
+ * or both, or resets its connections.
+ *
+ * @module
+ */
+import { connect, createServer, type Server, type Socket } from "node:net";
+
+const LOOPBACK = "127.0.0.1";
+
+/** What is wrong with a link. */
+export interface LinkHarm {
+  /** Added to each piece of data, in milliseconds. */
+  readonly delayMs: number;
+  /** Whether nothing passes towards the target. */
+  readonly holdsRequests: boolean;
+  /** Whether nothing passes back. */
+  readonly holdsAnswers: boolean;
+}
+
+const SOUND: LinkHarm = { delayMs: 0, holdsRequests: false, holdsAnswers: false };
+
+/** Time between two looks at whether data that is held may pass, in milliseconds. */
+const LOOK_EVERY_MS = 20;
+
+/** A proxy before one target. */
+export class LinkProxy {
+  readonly #targetPort: number;
+  readonly #server: Server;
+  readonly #sockets = new Set<Socket>();
+  #harm: LinkHarm = SOUND;
+
+  /**
+   * @param targetPort - Port of the target on this machine.
+   */
+  constructor(targetPort: number) {
+    this.#targetPort = targetPort;
+    this.#server = createServer((caller) => this.#join(caller));
+  }
+
+  /**
+   * Begins to listen.
+   *
+   * @returns The proxy's port.
+   */
+  async open(): Promise<number> {
+    await new Promise<void>((resolve) => this.#server.listen(0, LOOPBACK, resolve));
+    const bound = this.#server.address();
+    return typeof bound === "object" && bound !== null ? bound.port : 0;
+  }
+
+  /**
+   * Harms the link from now on.
+   *
+   * @param harm - What is wrong with it.
+   */
+  harm(harm: Partial<LinkHarm>): void {
+    this.#harm = { ...this.#harm, ...harm };
+  }
+
+  /** Makes the link sound again; what was held back passes. */
+  heal(): void {
+    this.#harm = SOUND;
+  }
+
+  /** Resets all connections. */
+  reset(): void {
+    for (const socket of this.#sockets) {
+      socket.resetAndDestroy();
+    }
+  }
+
+  /** Ends the proxy. */
+  close(): void {
+    this.#server.close();
+    this.reset();
+  }
+
+  #join(caller: Socket): void {
+    const target = connect(this.#targetPort, LOOPBACK);
+    this.#pass(caller, target, () => this.#harm.holdsRequests);
+    this.#pass(target, caller, () => this.#harm.holdsAnswers);
+  }
+
+  #pass(from: Socket, to: Socket, isHeld: () => boolean): void {
+    this.#sockets.add(from);
+    let last = Promise.resolve();
+    const inOrder = (write: () => void): void => {
+      last = last.then(() => this.#wait(isHeld)).then(write);
+    };
+    from.on("data", (data: Buffer) => inOrder(() => !to.destroyed && to.write(data)));
+    from.on("end", () => inOrder(() => to.end()));
+    from.on("error", () => to.resetAndDestroy());
+    from.on("close", () => this.#sockets.delete(from));
+  }
+
+  async #wait(isHeld: () => boolean): Promise<void> {
+    const { delayMs } = this.#harm;
+    if (delayMs > 0) {
+      await pauseMs(delayMs);
+    }
+    while (isHeld()) {
+      await pauseMs(LOOK_EVERY_MS);
+    }
+  }
+}
+
+function pauseMs(delayMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, delayMs));
+}
--- /dev/null
+++ b/fault_soak/promises.ts
@@ -0,0 +1,194 @@
+/**
+ * The promises that a fault soak checks, from what callers and leafs see. Those that can be told at
+ * once are judged with each answer, the others when the run has ended and leafs have nothing open.
+ *
+ * @module
+ */
+
+import { type CallerResponse, serviceRecords } from "../platform/standin/mod.js";
+import { mergeRecords } from "../request/mod.js";
+import { LEDGER, RECORDS, SHARDS, type SoakBox, type SoakFleet } from "./soak_fleet.js";
+
+/** Time in which a change in the store is acted on by boxes that nothing disturbs, in milliseconds. */
+const NEWS_DUE_MS = 3_000;
+
+/** Time after a disturbance from which boxes must act in time again, in milliseconds. */
+const SOUND_AFTER_MS = 2_500;
+
+/** One request and what came of it. */
+export interface SeenRequest {
+  readonly requestId: string;
+  readonly path: string;
+  readonly box: SoakBox;
+  /** Which of the box's processes it was sent to. */
+  readonly life: number;
+  /** Whether the box was in the course of a planned stop, and nothing else, when it ended. */
+  readonly duringStop: boolean;
+  /** Nothing where the connection ended without an answer. */
+  readonly response: CallerResponse | undefined;
+}
+
+/** A time in which boxes or the store were disturbed, on this process's clock, in milliseconds. */
+export interface Disturbance {
+  readonly fromMs: number;
+  readonly untilMs: number;
+}
+
+/** Judges a run. */
+export class Promises {
+  readonly #soak: SoakFleet;
+  readonly #notRun: Array<string> = [];
+  readonly #cut: Array<SeenRequest> = [];
+  readonly #shownVersion = new Map<string, number>();
+  readonly broken: Array<string> = [];
+  readonly checked: Record<string, number> = {};
+
+  /**
+   * @param soak - The programs.
+   */
+  constructor(soak: SoakFleet) {
+    this.#soak = soak;
+  }
+
+  /**
+   * Judges one answer.
+   *
+   * @param seen - The request and what came of it.
+   */
+  see(seen: SeenRequest): void {
+    const { path, requestId, response, duringStop } = seen;
+    if (response === undefined) {
+      if (duringStop) {
+        this.#cut.push(seen);
+      }
+      return;
+    }
+    if (response.statusCode === 503) {
+      this.#notRun.push(requestId);
+    }
+    if (response.statusCode === 200 && path === "/sweep/") {
+      this.#judgeSweep(requestId, response);
+    }
+    if (response.statusCode === 200 && path !== "/sweep/") {
+      this.#judgeSingle(requestId, response);
+    }
+    this.#judgeVersion(seen, response.statusCode);
+  }
+
+  /**
+   * Judges what shows only at the end.
+   *
+   * @param disturbances - Times in which bounds did not hold.
+   */
+  judgeEnd(disturbances: ReadonlyArray<Disturbance>): void {
+    this.#judgeRuns();
+    this.#judgeDraining(disturbances);
+  }
+
+  #check(promise: string, holds: boolean, detail: () => string): void {
+    this.checked[promise] = (this.checked[promise] ?? 0) + 1;
+    if (!holds) {
+      this.broken.push(`${promise}: ${detail()}`);
+    }
+  }
+
+  #judgeSweep(requestId: string, { headers, body }: CallerResponse): void {
+    const signatures = String(headers["x-part-stamps"] ?? "").split(", ");
+    const services = signatures.map((signature) => this.#serviceOf(signature, requestId));
+    const missing = Number(headers["x-missing-parts"] ?? 0);
+    this.#check(
+      "an answer names parts of this request, each shard once",
+      new Set(services).size === services.length && !services.includes(undefined),
+      () => `${requestId} has ${signatures.join()}`,
+    );
+    this.#check(
+      "an answer says truly how many parts it lacks",
+      signatures.length + missing === SHARDS.length,
+      () => `${requestId} has ${signatures.length} parts and lacks ${missing}`,
+    );
+    const parts = services.map((service) => serviceRecords(service ?? "", RECORDS.perLeaf));
+    this.#check(
+      "an answer holds the greatest records of its parts",
+      mergeRecords(parts, { topRecords: RECORDS.top }).equals(body),
+      () => requestId,
+    );
+  }
+
+  #judgeSingle(requestId: string, { headers, body }: CallerResponse): void {
+    const service = this.#serviceOf(String(headers["x-response-stamp"]), requestId);
+    const isOwn = service === LEDGER && body.equals(serviceRecords(LEDGER, RECORDS.perLeaf));
+    this.#check("an answer is the leaf's own, whole", isOwn, () => requestId);
+  }
+
+  #serviceOf(signature: string, requestId: string): string | undefined {
+    const [leafId, signedId] = signature.split(".");
+    const found = this.#soak.allLeafs.find(({ leaf }) => leaf.leafId === leafId);
+    return signedId === requestId ? found?.service : undefined;
+  }
+
+  #judgeVersion({ box, life, path, requestId }: SeenRequest, statusCode: number): void {
+    const version = Number(/^\/version-(\d+)\/$/.exec(path)?.[1] ?? Number.NaN);
+    if (Number.isNaN(version)) {
+      return;
+    }
+    const key = `${box.box.name}/${life}`;
+    const shown = this.#shownVersion.get(key) ?? 0;
+    if (statusCode === 404) {
+      this.#check("a configuration never reverts", version > shown, () => {
+        return `${key} knew version ${shown} and refuses ${version} (${requestId})`;
+      });
+    } else if (statusCode !== 503) {
+      this.#shownVersion.set(key, Math.max(shown, version));
+    }
+  }
+
+  #judgeRuns(): void {
+    const runs = new Map<string, number>();
+    for (const { leaf, service } of this.#soak.allLeafs) {
+      for (const { requestId, method } of leaf.runs) {
+        const key = service === LEDGER && method === "POST" ? requestId : `${requestId}/safe`;
+        runs.set(key, (runs.get(key) ?? 0) + 1);
+      }
+    }
+    for (const [requestId, count] of runs) {
+      if (!requestId.endsWith("/safe")) {
+        this.#check("a request that must not run twice runs once", count <= 1, () => requestId);
+      }
+    }
+    for (const requestId of this.#notRun) {
+      const hasRun = runs.has(requestId) || runs.has(`${requestId}/safe`);
+      this.#check("a request refused as not run has not run", !hasRun, () => requestId);
+    }
+    for (const { requestId, box } of this.#cut) {
+      const hasRun = runs.has(requestId) || runs.has(`${requestId}/safe`);
+      this.#check("a planned stop cuts no request", !hasRun, () => {
+        return `${requestId} at ${box.box.name}`;
+      });
+    }
+  }
+
+  #judgeDraining(disturbances: ReadonlyArray<Disturbance>): void {
+    for (const { leaf, drainingSinceMs } of this.#soak.allLeafs) {
+      if (drainingSinceMs < Number.POSITIVE_INFINITY) {
+        const dueMs = newsDueAtMs(drainingSinceMs, disturbances);
+        const late = leaf.runs.filter(({ atMs }) => atMs > dueMs);
+        this.#check("a leaf that drains gets no new work", late.length === 0, () => {
+          const byMs = Math.round((late.at(-1)?.atMs ?? 0) - drainingSinceMs);
+          return `${leaf.leafId} ran ${late.length} requests, up to ${byMs} ms after`;
+        });
+      }
+    }
+  }
+}
+
+/** Moment at which news must be acted on: each disturbance that comes before it puts it off. */
+function newsDueAtMs(atMs: number, disturbances: ReadonlyArray<Disturbance>): number {
+  let dueMs = atMs + NEWS_DUE_MS;
+  for (const { fromMs, untilMs } of disturbances.toSorted((a, b) => a.fromMs - b.fromMs)) {
+    const soundAtMs = untilMs + SOUND_AFTER_MS;
+    if (fromMs < dueMs && soundAtMs > atMs) {
+      dueMs = Math.max(dueMs, soundAtMs + NEWS_DUE_MS);
+    }
+  }
+  return dueMs;
+}
--- /dev/null
+++ b/fault_soak/soak_fleet.ts
@@ -0,0 +1,166 @@
+/**
+ * The real programs that a fault soak runs on: boxes as processes before a stand-in of the store and
+ * stand-ins of leafs, each reached through a proxy.
+ *
+ * @module
+ */
+import {
+  BoxFleet,
+  type PlatformBox,
+  type RecordLeafStandin,
+  type ZoneName,
+} from "../platform/standin/mod.js";
+import { LinkProxy } from "./link_proxy.js";
+
+/** Shards of the gathered route. */
+export const SHARDS: ReadonlyArray<string> = ["shard-1", "shard-2", "shard-3", "shard-4"];
+
+/** Service of the route whose requests must not run twice. */
+export const LEDGER = "ledger";
+
+/** Host of all routes. */
+export const HOST = "h.example";
+
+/** Records of each leaf's answer, and those that a gathered answer holds. */
+export const RECORDS = { perLeaf: 8, top: 5 } as const;
+
+const LEAF_ZONES: ReadonlyArray<ZoneName> = ["hall-a", "hall-b"];
+const BOX_ZONES: ReadonlyArray<ZoneName> = ["hall-a", "hall-a", "hall-b", "hall-b"];
+
+/** A leaf with the proxy before it. */
+export interface SoakLeaf {
+  readonly service: string;
+  readonly dataCentre: ZoneName;
+  readonly leaf: RecordLeafStandin;
+  readonly link: LinkProxy;
+  /** Moment at which it said that it is draining; infinite before. */
+  drainingSinceMs: number;
+}
+
+/** A box with the proxy between it and the store. */
+export interface SoakBox {
+  readonly box: PlatformBox;
+  readonly storeLink: LinkProxy;
+  /** Counts its processes, so that what one has shown is not held against the next. */
+  life: number;
+  /** Whether a fault is in the course of ending or pausing its process. */
+  isHit: boolean;
+  /** Whether it is in the course of a planned stop. */
+  isStopping: boolean;
+}
+
+/** All programs of a run. */
+export class SoakFleet {
+  readonly fleet: BoxFleet;
+  readonly boxes: Array<SoakBox> = [];
+  readonly leafs: Array<SoakLeaf> = [];
+  /** Every leaf there ever was, so that runs of those that are gone count too. */
+  readonly allLeafs: Array<SoakLeaf> = [];
+  #version = 0;
+  #leafCount = 0;
+
+  private constructor(fleet: BoxFleet) {
+    this.fleet = fleet;
+  }
+
+  /**
+   * Starts all programs and waits until the boxes are ready.
+   *
+   * @returns The programs.
+   */
+  static async start(): Promise<SoakFleet> {
+    const soak = new SoakFleet(await BoxFleet.start());
+    soak.changeConfiguration();
+    for (const service of [...SHARDS, LEDGER]) {
+      for (const dataCentre of LEAF_ZONES) {
+        await soak.addLeaf(service, dataCentre);
+      }
+    }
+    for (const dataCentre of BOX_ZONES) {
+      await soak.#addBox(dataCentre);
+    }
+    await soak.fleet.ready();
+    return soak;
+  }
+
+  /** Version of the newest configuration. */
+  get version(): number {
+    return this.#version;
+  }
+
+  /** Writes the next configuration, which has one more route: `/version-N/`. */
+  changeConfiguration(): void {
+    this.#version += 1;
+    this.fleet.configure(configuration(this.#version));
+  }
+
+  /**
+   * Starts a leaf behind a proxy.
+   *
+   * @param service - Its service.
+   * @param dataCentre - Where it stands.
+   */
+  async addLeaf(service: string, dataCentre: ZoneName): Promise<void> {
+    this.#leafCount += 1;
+    const links: Array<LinkProxy> = [];
+    const leaf = await this.fleet.addLeaf({
+      leafId: `leaf-${this.#leafCount}`,
+      service,
+      dataCentre,
+      recordCount: RECORDS.perLeaf,
+      openFront: (port) => {
+        const link = new LinkProxy(port);
+        links.push(link);
+        return link.open();
+      },
+    });
+    const [link = new LinkProxy(0)] = links;
+    const entry = { service, dataCentre, leaf, link, drainingSinceMs: Number.POSITIVE_INFINITY };
+    this.leafs.push(entry);
+    this.allLeafs.push(entry);
+  }
+
+  /** Ends all programs. */
+  async stop(): Promise<void> {
+    for (const { link } of this.allLeafs) {
+      link.close();
+    }
+    for (const { storeLink } of this.boxes) {
+      storeLink.close();
+    }
+    await this.fleet.stop();
+  }
+
+  async #addBox(dataCentre: ZoneName): Promise<void> {
+    const storeLink = new LinkProxy(this.fleet.platform.port);
+    const box = await this.fleet.addBox(dataCentre, await storeLink.open());
+    this.boxes.push({ box, storeLink, life: 1, isHit: false, isStopping: false });
+  }
+}
+
+function configuration(version: number) {
+  const plain = { host: HOST, timeoutMs: 2_000, targetLatencyMs: 300, priority: 1 };
+  const single = { ...plain, service: LEDGER, maxAttempts: 2 };
+  const gather = { gather: SHARDS, topK: RECORDS.top, minShardShare: 0.5, maxAttempts: 2 };
+  const added = Array.from({ length: version }, (_, index) => {
+    const name = `version-${index + 1}`;
+    return { ...single, name, pathPrefix: `/${name}/`, type: "safe" };
+  });
+  return {
+    version,
+    routes: [
+      { ...plain, ...gather, name: "sweep", pathPrefix: "/sweep/", type: "safe" },
+      { ...single, name: LEDGER, pathPrefix: `/${LEDGER}/`, type: "unsafe" },
+      ...added,
+    ],
+    services: [...SHARDS, LEDGER].map((name) => {
+      return { name, healthCheckPath: "/healthz", maxConnections: 20 };
+    }),
+    limits: {
+      maxHeaderBytes: 16_384,
+      maxBodyBytes: 65_536,
+      headerTimeoutMs: 3_000,
+      idleTimeoutMs: 15_000,
+    },
+  };
+}
