Give the box's shell smaller rooms; pass over what the store told later than peers did

Change: fleet_view, leaf_registry, self_member; box_report makes the whole report. Lists and changes of an older revision than known are passed over. leaf_registry_test covers it. Tests: box_fleet and box: 156 passed.

--- a/box/box_knowledge.ts
+++ b/box/box_knowledge.ts
@@ -3,31 +3,21 @@
  *
  * @module
  */
-import {
-  applyLeafChanges,
-  applyLeafList,
-  dropOverdueLeafs,
-  type Leaf,
-  type LeafTable,
-  NO_LEAFS,
-} from "../leafs/mod.js";
+import type { LeafTable } from "../leafs/mod.js";
 import {
   CONFIGURATION_KIND,
   CONFIGURATION_NAME,
   decodeConfiguration,
-  decodeLeaf,
   LEAF_KIND,
-  type StoreChanges,
   type StoreClient,
-  type StoreList,
   type StoreObject,
 } from "../platform/mod.js";
 import { type Configuration, type RouteTable, routeTable } from "../routing/mod.js";
 import type { BoxTelemetry } from "./box_telemetry.js";
 import type { Progress } from "./fleet_messages.js";
-import { LeafNews } from "./leaf_news.js";
+import { LeafRegistry } from "./leaf_registry.js";
 import { type RegistryListener, RegistryWatch } from "./registry_watch.js";
-import { applyShared, type SharedKnowledge, shareKnowledge } from "./shared_knowledge.js";
+import { type SharedKnowledge, shareKnowledge } from "./shared_knowledge.js";
 
 /**
  * Time that a leaf's entry has to come back after an outage of the store, in milliseconds: entries
@@ -79,13 +69,11 @@
   readonly #options: BoxKnowledgeOptions;
   readonly #configurationWatch: RegistryWatch;
   readonly #leafWatch: RegistryWatch;
-  readonly #news = new LeafNews();
+  readonly #leafs: LeafRegistry;
   #startedAtMs = 0;
   #isWatcher = true;
   #routes: RouteTable | undefined;
   #adopted: AdoptedConfiguration | undefined;
-  #leafs: LeafTable = NO_LEAFS;
-  #leafsRevision = 0;
   /** Kinds whose watch has lost the store. */
   readonly #lost = new Set<string>();
   #regainedAtMs = -Infinity;
@@ -96,7 +84,13 @@
    */
   constructor(options: BoxKnowledgeOptions) {
     this.#options = options;
-    const { store, waitMs } = options;
+    const { nowMs, onLeafs, store, telemetry, waitMs } = options;
+    this.#leafs = new LeafRegistry({
+      telemetry,
+      nowMs,
+      graceMs: () => this.#graceMs(),
+      onChange: onLeafs,
+    });
     this.#configurationWatch = new RegistryWatch(
       { store, kind: CONFIGURATION_KIND, waitMs, mayBeStale: false },
       this.#listener(CONFIGURATION_KIND, {
@@ -107,8 +101,8 @@
     this.#leafWatch = new RegistryWatch(
       { store, kind: LEAF_KIND, waitMs, mayBeStale: true },
       this.#listener(LEAF_KIND, {
-        onList: (list) => this.#readLeafList(list),
-        onChanges: (changes) => this.#readLeafChanges(changes),
+        onList: (list) => this.#leafs.takeList(list),
+        onChanges: (changes) => this.#leafs.takeChanges(changes),
       }),
     );
     this.#leafWatch.pause();
@@ -134,7 +128,7 @@
 
   /** Whether a configuration and the leafs are known, so that requests can be served. */
   get isComplete(): boolean {
-    return this.#routes !== undefined && this.#leafsRevision > 0;
+    return this.#routes !== undefined && this.#leafs.revision > 0;
   }
 
   /**
@@ -150,17 +144,17 @@
     });
     this.#setWanted(this.#leafWatch, LEAF_KIND, {
       isWanted: this.#wantsLeafWatch(),
-      revision: this.#leafsRevision,
+      revision: this.#leafs.revision,
     });
   }
 
   #wantsLeafWatch(): boolean {
     const services = this.#routes?.configuration.services.length ?? Number.POSITIVE_INFINITY;
-    if (this.#leafsRevision === 0 && services > FEW_SERVICES) {
+    if (this.#leafs.revision === 0 && services > FEW_SERVICES) {
       const sinceStartMs = this.#options.nowMs() - this.#startedAtMs;
       return sinceStartMs > (this.#isWatcher ? LEARN_PEERS_MS : WAIT_FOR_PEER_MS);
     }
-    return this.#isWatcher || this.#leafsRevision === 0;
+    return this.#isWatcher || this.#leafs.revision === 0;
   }
 
   #setWanted(
@@ -188,19 +182,19 @@
 
   /** Leafs believed in. */
   get leafs(): LeafTable {
-    return this.#leafs;
+    return this.#leafs.table;
   }
 
   /** Revision of the store up to which the leafs' entries are known. */
   get leafsRevision(): number {
-    return this.#leafsRevision;
+    return this.#leafs.revision;
   }
 
   /** How far this box is with what lasts in the store. */
   get progress(): Progress {
     return {
       configurationVersion: this.#routes?.configuration.version ?? 0,
-      leafsRevision: this.#leafsRevision,
+      leafsRevision: this.#leafs.revision,
     };
   }
 
@@ -216,10 +210,9 @@
 
   /** Drops the leafs whose entry did not come back in time. */
   dropOverdue(): void {
-    const kept = dropOverdueLeafs(this.#leafs, { nowMs: this.#options.nowMs() });
     // While the store is away nothing can come back, so nothing is dropped either.
-    if (kept !== this.#leafs && this.hearsStore) {
-      this.#setLeafs(kept, this.#leafsRevision);
+    if (this.hearsStore) {
+      this.#leafs.dropOverdue();
     }
   }
 
@@ -230,10 +223,15 @@
    * @returns What it lacks.
    */
   share(progress: Progress): SharedKnowledge {
-    const configuration = this.#routes?.configuration;
-    const { nowMs } = this.#options;
-    const known = { configuration, leafs: this.#leafs, leafsRevision: this.#leafsRevision };
-    return shareKnowledge({ ...known, news: this.#news, nowMs: nowMs() }, progress);
+    const { news, revision, table } = this.#leafs;
+    const known = {
+      configuration: this.#routes?.configuration,
+      leafs: table,
+      leafsRevision: revision,
+      news,
+      nowMs: this.#options.nowMs(),
+    };
+    return shareKnowledge(known, progress);
   }
 
   /**
@@ -242,19 +240,10 @@
    * @param shared - What the peer handed over.
    */
   takeOver(shared: SharedKnowledge): void {
-    const { configuration, leafs, removed, leafsRevision } = shared;
     this.#heardAtMs = this.#options.nowMs();
-    if (leafsRevision > this.#leafsRevision) {
-      if (removed === undefined) {
-        this.#news.restart(leafsRevision);
-      } else {
-        const changed = leafs.map(({ leafId }) => leafId);
-        this.#news.note({ changed, removed, revision: leafsRevision });
-      }
-      this.#setLeafs(applyShared(this.#leafs, shared, this.#options.nowMs()), leafsRevision);
-    }
-    if (configuration !== undefined) {
-      this.#adopt(configuration, "peer");
+    this.#leafs.takeShared(shared);
+    if (shared.configuration !== undefined) {
+      this.#adopt(shared.configuration, "peer");
     }
   }
 
@@ -281,6 +270,12 @@
     };
   }
 
+  /** After the store was away, entries that are gone may have lapsed and come back. */
+  #graceMs(): number {
+    const sinceReturnMs = this.#options.nowMs() - this.#regainedAtMs;
+    return !this.hearsStore || sinceReturnMs < RETURN_MS ? REAPPEAR_MS : 0;
+  }
+
   #readConfiguration(objects: ReadonlyArray<StoreObject>): void {
     const object = objects.find(({ name }) => name === CONFIGURATION_NAME);
     if (object === undefined) {
@@ -308,51 +303,4 @@
     this.#options.telemetry.event("info", "configuration: in force", fields);
     this.#options.onConfiguration(configuration);
   }
-
-  #readLeafList({ objects, revision }: StoreList): void {
-    const leafs = this.#decodeLeafs(objects);
-    this.#news.restart(revision);
-    this.#setLeafs(applyLeafList(this.#leafs, leafs, this.#removal()), revision);
-  }
-
-  #readLeafChanges({ changed, removed, revision }: StoreChanges): void {
-    const leafs = this.#decodeLeafs(changed);
-    this.#news.note({ changed: changed.map(({ name }) => name), removed, revision });
-    const changes = { changed: leafs, removed };
-    this.#setLeafs(applyLeafChanges(this.#leafs, changes, this.#removal()), revision);
-  }
-
-  #decodeLeafs(objects: ReadonlyArray<StoreObject>): ReadonlyArray<Leaf> {
-    return objects.flatMap(({ name, spec }) => {
-      const leaf = decodeLeaf(name, spec);
-      if (leaf === undefined) {
-        this.#options.telemetry.event("warn", "leafs: entry cannot be read", { leafId: name });
-      }
-      return leaf ?? [];
-    });
-  }
-
-  #removal(): { readonly nowMs: number; readonly graceMs: number } {
-    const nowMs = this.#options.nowMs();
-    const isReturn = !this.hearsStore || nowMs - this.#regainedAtMs < RETURN_MS;
-    return { nowMs, graceMs: isReturn ? REAPPEAR_MS : 0 };
-  }
-
-  #setLeafs(leafs: LeafTable, revision: number): void {
-    const before = this.#leafs;
-    this.#leafs = leafs;
-    this.#leafsRevision = Math.max(this.#leafsRevision, revision);
-    const fields = {
-      revision,
-      count: leafs.byId.size,
-      added: [...leafs.byId.keys()].filter((leafId) => !before.byId.has(leafId)).slice(0, 20),
-      gone: [...before.byId.keys()].filter((leafId) => !leafs.byId.has(leafId)).slice(0, 20),
-      draining: [...leafs.byId.values()]
-        .filter(({ draining }) => draining)
-        .map(({ leafId }) => leafId)
-        .slice(0, 20),
-    };
-    this.#options.telemetry.event("info", "leafs: changed", fields);
-    this.#options.onLeafs();
-  }
 }
--- a/box/box_report.ts
+++ b/box/box_report.ts
@@ -6,6 +6,7 @@
  */
 import type { Leaf, LeafCondition, LeafTable } from "../leafs/mod.js";
 import type { Member, MemberState } from "../model/mod.js";
+import type { BoxKnowledge } from "./box_knowledge.js";
 
 /** Path at which a box tells it, on its peers' port. */
 export const REPORT_PATH = "/peer/v1/report";
@@ -62,38 +63,70 @@
   readonly extraCallsLeft: Readonly<Record<string, number>>;
 }
 
-/** What a leaf's report is made from. */
-export interface LeafView {
-  readonly table: LeafTable;
+/** What a report is made from. */
+export interface ReportedBox {
+  readonly box: string;
+  readonly phase: string;
+  readonly knowledge: Pick<
+    BoxKnowledge,
+    "adopted" | "hearsStore" | "heardAtMs" | "isWatcher" | "leafs" | "leafsRevision"
+  >;
   readonly condition: (leafId: string) => LeafCondition | undefined;
+  readonly runningCount: number;
+  readonly members: ReadonlyArray<Member>;
+  readonly extraCallsLeft: ReadonlyMap<string, number>;
   readonly nowMs: number;
 }
 
 /**
- * Reports the leafs that a box believes in.
+ * Makes a box's report.
  *
- * @param view - What it knows of them.
- * @returns A report each, by service.
+ * @param reported - What the box knows.
+ * @returns The report.
  */
-export function reportLeafs({ table, condition, nowMs }: LeafView): ReadonlyArray<LeafReport> {
-  return [...table.byId.values()]
-    .map((leaf) => {
-      const seen = condition(leaf.leafId);
-      const { leafId, service, dataCentre } = leaf;
-      return {
-        leafId,
-        service,
-        dataCentre,
-        standing: standingOf(leaf, table, seen),
-        meanMs: Math.round(seen?.meanMs ?? 0),
-        openCalls: seen?.openCalls.size ?? 0,
-        failuresInRow: seen?.failuresInRow ?? 0,
-        avoidedForMs: Math.max(0, Math.round((seen?.avoidUntilMs ?? 0) - nowMs)),
-      };
-    })
+export function reportBox(reported: ReportedBox): BoxReport {
+  const { box, extraCallsLeft, knowledge, members, nowMs, phase, runningCount } = reported;
+  const { adopted, hearsStore, heardAtMs, isWatcher, leafsRevision } = knowledge;
+  const configuration = adopted && {
+    version: adopted.version,
+    source: adopted.source,
+    inForceForMs: Math.round(nowMs - adopted.atMs),
+  };
+  return {
+    ...{ box, phase, configuration, leafsRevision, isWatcher, hearsStore },
+    knownAgoMs: Math.round(nowMs - heardAtMs),
+    running: runningCount,
+    members: members.map(reportMember),
+    leafs: reportLeafs(reported),
+    extraCallsLeft: Object.fromEntries(extraCallsLeft),
+  };
+}
+
+function reportMember({ box, state, address, peerPort }: Member): MemberReport {
+  return { box, state, address, peerPort };
+}
+
+function reportLeafs(reported: ReportedBox): ReadonlyArray<LeafReport> {
+  return [...reported.knowledge.leafs.byId.values()]
+    .map((leaf) => reportLeaf(leaf, reported))
     .toSorted((a, b) => (`${a.service} ${a.leafId}` < `${b.service} ${b.leafId}` ? -1 : 1));
 }
 
+function reportLeaf(leaf: Leaf, { condition, knowledge, nowMs }: ReportedBox): LeafReport {
+  const { leafId, service, dataCentre } = leaf;
+  const seen = condition(leafId);
+  return {
+    leafId,
+    service,
+    dataCentre,
+    standing: standingOf(leaf, knowledge.leafs, seen),
+    meanMs: Math.round(seen?.meanMs ?? 0),
+    openCalls: seen?.openCalls.size ?? 0,
+    failuresInRow: seen?.failuresInRow ?? 0,
+    avoidedForMs: Math.max(0, Math.round((seen?.avoidUntilMs ?? 0) - nowMs)),
+  };
+}
+
 function standingOf(
   { leafId, draining, warmingForMs }: Leaf,
   { dropAtMs }: LeafTable,
@@ -110,13 +143,3 @@
   }
   return warmingForMs > 0 ? "warming up" : "ready";
 }
-
-/**
- * Reports the other boxes that a box knows.
- *
- * @param members - The boxes.
- * @returns A report each.
- */
-export function reportMembers(members: ReadonlyArray<Member>): ReadonlyArray<MemberReport> {
-  return members.map(({ box, state, address, peerPort }) => ({ box, state, address, peerPort }));
-}
--- a/box/box_shell.ts
+++ b/box/box_shell.ts
@@ -3,7 +3,6 @@
  *
  * @module
  */
-import { randomBytes } from "node:crypto";
 import type { Server } from "node:http";
 import { LeafCalls } from "../calls/mod.js";
 import {
@@ -14,24 +13,24 @@
   NEW_LIFECYCLE,
 } from "../lifecycle/mod.js";
 import type { Member } from "../model/mod.js";
-import { type BoxSettings, type SocketAddress, StoreClient } from "../platform/mod.js";
+import { type BoxSettings, StoreClient } from "../platform/mod.js";
 import { RelayCalls } from "../relay/mod.js";
 import { listen } from "./_listen.js";
 import { BoxKnowledge } from "./box_knowledge.js";
-import { type BoxReport, reportLeafs, reportMembers } from "./box_report.js";
+import { type BoxReport, reportBox } from "./box_report.js";
 import type { BoxTelemetry } from "./box_telemetry.js";
-import { callerServer } from "./caller_server.js";
+import { callerServer, keepIdleCallers } from "./caller_server.js";
 import { ExtraCallBudgets } from "./extra_call_budgets.js";
 import { FleetLink } from "./fleet_link.js";
+import { FleetView } from "./fleet_view.js";
 import { PeerCatchUp } from "./peer_catch_up.js";
 import { watchWaitMs } from "./registry_watch.js";
 import { RelayPlaces } from "./relay_places.js";
 import { RequestIntake } from "./request_intake.js";
 import { RequestRunner } from "./request_runner.js";
 import { type CompiledPolicies, RoutePolicies } from "./route_policies.js";
-import { servingBoxes } from "./serving_boxes.js";
+import { selfMember } from "./self_member.js";
 import { type MetricsPlace, type ServerAtPort, sideServers } from "./side_servers.js";
-import { storeWatchers } from "./store_watchers.js";
 
 /** Time that callers may keep an answer of the directory, in milliseconds; at most the setting. */
 const KEEP_MS = 5_000;
@@ -48,15 +47,6 @@
 /** Bodies taken before a configuration sets the limit, in bytes. */
 const DEFAULT_MAX_BODY_BYTES = 262_144;
 
-/** Time that a resting connection is kept beyond the configured one, in milliseconds. */
-const IDLE_SLACK_MS = 1_000;
-
-/** Most connections of one box to a leaf; more than this are never needed at its few slots. */
-const MOST_CONNECTIONS = 8;
-
-/** Random bytes that tell two runs of a box apart; few, as they are in each datagram. */
-const INCARNATION_BYTES = 6;
-
 /** What a box is started with. */
 export interface BoxOptions {
   readonly settings: BoxSettings;
@@ -82,7 +72,7 @@
   readonly #fleet: FleetLink;
   readonly #callerServer: Server;
   readonly #servers: ReadonlyArray<ServerAtPort>;
-  readonly #serving = new Map<string, ReadonlyArray<Member>>();
+  readonly #view: FleetView;
   #lifecycle: Lifecycle = NEW_LIFECYCLE;
   #stopping = false;
   #tidyTimer: NodeJS.Timeout | undefined;
@@ -95,6 +85,11 @@
     this.#telemetry = telemetry;
     this.#onEnd = onEnd;
     this.#store = new StoreClient(settings.store);
+    this.#view = new FleetView({
+      settings: () => this.#settings,
+      members: () => this.#fleet.members(),
+      alive: () => this.#fleet.alive(),
+    });
     this.#knowledge = new BoxKnowledge({
       store: this.#store,
       waitMs: watchWaitMs(settings),
@@ -108,18 +103,21 @@
     });
     this.#calls = new LeafCalls({
       nowMs,
-      connectionsTo: (service) => this.#connections(service),
+      connectionsTo: (service) => {
+        const terms = this.#knowledge.routes?.termsByService.get(service);
+        return this.#view.connectionShare(terms?.maxConnections || Number.POSITIVE_INFINITY);
+      },
       onEnd: (result) => telemetry.attempts.inc({ outcome: result }),
     });
     this.#budgets = new ExtraCallBudgets({
       share: () => this.#settings.extraCallShare,
       slackCalls: () => this.#settings.extraCallSlack,
-      countBoxes: () => this.#countBoxes(),
+      countBoxes: () => this.#view.countBoxes(),
     });
     const places = new RelayPlaces({
       dataCentre: settings.dataCentre,
       regionOf: (dataCentre) => settings.regions.get(dataCentre) ?? dataCentre,
-      servingBoxes: (region) => this.#servingBoxes(region),
+      servingBoxes: (region) => this.#view.servingBoxes(region),
     });
     this.#runner = new RequestRunner({
       nowMs,
@@ -138,7 +136,7 @@
     const knowledge = this.#knowledge;
     const catchUp = new PeerCatchUp({ box: settings.box, knowledge, isNear, telemetry });
     this.#fleet = new FleetLink({
-      self: this.#self(),
+      self: selfMember(settings),
       seeds: () => this.#seedAddresses(),
       port: settings.datagramPort,
       nowMs,
@@ -146,7 +144,7 @@
       progress: () => this.#knowledge.progress,
       onProgress: (member, progress) => catchUp.compare(member, progress),
       onMember: ({ box, state, incarnation }) => {
-        this.#serving.clear();
+        this.#view.changed();
         telemetry.event("info", "fleet: box changed", { member: box, state, incarnation });
       },
       onFault: (message) => telemetry.event("warn", "fleet: fault", { reason: message }),
@@ -159,7 +157,7 @@
       policies: new RoutePolicies(policies, (policy, reason) => {
         telemetry.event("warn", "policy: program failed, its default holds", { policy, reason });
       }),
-      countBoxes: () => this.#countBoxes(),
+      countBoxes: () => this.#view.countBoxes(),
     });
     this.#callerServer = callerServer({
       nowMs,
@@ -175,7 +173,7 @@
       ...sideServers({
         settings,
         isReady: () => lifecyclePhase(this.#lifecycle) === "ready",
-        advise: (region) => this.#advise(region),
+        advise: (region) => this.#view.advise(region),
         keepMs: () => Math.min(KEEP_MS, this.#settings.mostKeepMs),
         report: () => this.#report(),
         share: (progress) => this.#knowledge.share(progress),
@@ -224,32 +222,23 @@
     this.#stopping = true;
     this.#move("stopRequested");
     this.#fleet.declare("leaving");
-    this.#serving.clear();
+    this.#view.changed();
     const { stopGraceMs } = this.#settings;
     setTimeout(() => this.#finish(), stopGraceMs - FINISH_MS);
     setTimeout(() => this.#end(), stopGraceMs - EXIT_MS);
   }
 
   #report(): BoxReport {
-    const { adopted, hearsStore, heardAtMs, isWatcher, leafs, leafsRevision } = this.#knowledge;
-    const now = nowMs();
-    const configuration = adopted && {
-      version: adopted.version,
-      source: adopted.source,
-      inForceForMs: Math.round(now - adopted.atMs),
-    };
-    const condition = (leafId: string) => this.#calls.condition(leafId);
-    return {
+    return reportBox({
       box: this.#settings.box,
       phase: lifecyclePhase(this.#lifecycle),
-      configuration,
-      ...{ leafsRevision, isWatcher, hearsStore },
-      knownAgoMs: Math.round(now - heardAtMs),
-      running: this.#runner.runningCount,
-      members: reportMembers(this.#fleet.members()),
-      leafs: reportLeafs({ table: leafs, condition, nowMs: now }),
-      extraCallsLeft: Object.fromEntries(this.#budgets.left()),
-    };
+      knowledge: this.#knowledge,
+      condition: (leafId) => this.#calls.condition(leafId),
+      runningCount: this.#runner.runningCount,
+      members: this.#fleet.members(),
+      extraCallsLeft: this.#budgets.left(),
+      nowMs: nowMs(),
+    });
   }
 
   #finish(): void {
@@ -282,34 +271,10 @@
     this.#telemetry.event("info", "box: phase", { phase, event });
   }
 
-  #self(): Member {
-    const { box, address, dataCentre, callers, peers, processorCores } = this.#settings;
-    return {
-      memberId: box,
-      incarnation: randomBytes(INCARNATION_BYTES).toString("hex"),
-      startedAtEpochMs: Date.now(),
-      version: 1,
-      state: "joining",
-      role: "entry",
-      box,
-      dataCentre,
-      address,
-      peerPort: peers.port,
-      callerPort: callers.port,
-      processorCores,
-    };
-  }
-
   #configured(): void {
     const limits = this.#knowledge.routes?.configuration.callerLimits;
     if (limits !== undefined) {
-      // Never shortened within a life: resting connections were promised the longer time.
-      this.#callerServer.keepAliveTimeout = Math.max(
-        this.#callerServer.keepAliveTimeout,
-        limits.idleTimeoutMs + IDLE_SLACK_MS,
-      );
-      this.#callerServer.headersTimeout =
-        this.#callerServer.keepAliveTimeout + limits.headerTimeoutMs;
+      keepIdleCallers(this.#callerServer, limits);
     }
     this.#learned();
   }
@@ -319,88 +284,27 @@
     if (this.#knowledge.isComplete && lifecyclePhase(this.#lifecycle) === "starting") {
       this.#move("configured");
       this.#fleet.declare("alive");
-      this.#serving.clear();
+      this.#view.changed();
     }
     if (this.#knowledge.isWatcher) {
-      this.#fleet.tell(this.#followers());
+      this.#fleet.tell(this.#view.followers());
     }
   }
 
-  /** Boxes of the own region that do not watch the store. */
-  #followers(): ReadonlyArray<Member> {
-    const near = this.#nearLiving();
-    const watchers = storeWatchers(near);
-    return near.filter(({ memberId }) => !watchers.has(memberId));
-  }
-
-  #nearLiving(): ReadonlyArray<Member> {
-    const { dataCentre, regions } = this.#settings;
-    const region = regions.get(dataCentre);
-    return this.#fleet.members().filter((member) => {
-      const isLiving = member.state === "alive" || member.state === "joining";
-      return isLiving && regions.get(member.dataCentre) === region;
-    });
-  }
-
   #seedAddresses(): ReadonlyArray<string> {
     const { address: own, seeds } = this.#settings;
     return seeds.map(({ address }) => address).filter((address) => address !== own);
   }
 
-  #countBoxes(): number {
-    const present = this.#fleet.members().filter(({ state }) => state !== "dead");
-    return Math.max(this.#settings.seeds.length, present.length);
-  }
-
-  /** Serving boxes share a leaf's connections; one that stands by needs few, if any. */
-  #connections(service: string): number {
-    const terms = this.#knowledge.routes?.termsByService.get(service);
-    const most =
-      terms === undefined || terms.maxConnections === 0 ? Infinity : terms.maxConnections;
-    const serving = [...new Set(this.#settings.regions.values())].flatMap((region) => {
-      return this.#servingBoxes(region);
-    });
-    const isServing = serving.some(({ memberId }) => memberId === this.#settings.box);
-    const sharers = isServing ? serving.length : this.#countBoxes();
-    const share = Math.floor(most / (sharers + 1));
-    return Math.max(1, Math.min(MOST_CONNECTIONS, share));
-  }
-
   #tidy(): void {
-    this.#serving.clear();
+    this.#view.changed();
     this.#calls.dropOverdue();
     this.#knowledge.dropOverdue();
     // One that leaves is told of nothing any more and goes on by itself.
-    const isWatcher = this.#stopping || storeWatchers(this.#nearLiving()).has(this.#settings.box);
+    const isWatcher = this.#stopping || this.#view.watchesStore();
     this.#knowledge.setWatcher(isWatcher);
     this.#telemetry.storeCalls.set(this.#store.calls);
   }
-
-  /** Boxes of a region that can be given work. */
-  #boxesIn(region: string): ReadonlyArray<Member> {
-    return this.#fleet.alive().filter(({ dataCentre }) => {
-      return this.#settings.regions.get(dataCentre) === region;
-    });
-  }
-
-  /** Asked for with each call, so it is kept until a box changes. */
-  #servingBoxes(region: string): ReadonlyArray<Member> {
-    const kept = this.#serving.get(region);
-    if (kept !== undefined) {
-      return kept;
-    }
-    const serving = servingBoxes(this.#boxesIn(region));
-    this.#serving.set(region, serving);
-    return serving;
-  }
-
-  /** Addresses of the boxes in the caller's region; of all, where none there can be given work. */
-  #advise(region: string): ReadonlyArray<SocketAddress> {
-    const near = this.#servingBoxes(region);
-    return (near.length > 0 ? near : this.#fleet.alive()).map(({ address, callerPort }) => {
-      return { address, port: callerPort };
-    });
-  }
 }
 
 function nowMs(): number {
--- a/box/caller_server.ts
+++ b/box/caller_server.ts
@@ -13,6 +13,7 @@
   passedHeaders,
 } from "../platform/mod.js";
 import type { Reply } from "../request/mod.js";
+import type { CallerLimits } from "../routing/mod.js";
 import type { ForwardedRequest } from "./request_runner.js";
 
 /** A request as it came in, read whole. */
@@ -39,6 +40,9 @@
   readonly onRequest: (request: ArrivedRequest, answer: AnswerCall) => () => void;
 }
 
+/** Time that a resting connection is kept beyond the one promised, in milliseconds. */
+const IDLE_SLACK_MS = 1_000;
+
 /** Most bytes of headers taken; callers' own limit is lower. */
 const MAX_HEADER_BYTES = 65_536;
 
@@ -156,3 +160,18 @@
   ]);
   response.end(body);
 }
+
+/**
+ * Keeps connections that rest for as long as the configuration promises. Never shortened within a
+ * life: connections that rest now were promised the longer time.
+ *
+ * @param server - The server.
+ * @param limits - What callers were promised.
+ */
+export function keepIdleCallers(
+  server: Server,
+  { idleTimeoutMs, headerTimeoutMs }: Pick<CallerLimits, "idleTimeoutMs" | "headerTimeoutMs">,
+): void {
+  server.keepAliveTimeout = Math.max(server.keepAliveTimeout, idleTimeoutMs + IDLE_SLACK_MS);
+  server.headersTimeout = server.keepAliveTimeout + headerTimeoutMs;
+}
--- /dev/null
+++ b/box/fleet_view.ts
@@ -0,0 +1,115 @@
+/**
+ * What a box concludes from the boxes it knows: who serves, who watches the store, who is told, and
+ * its share of a leaf's connections.
+ *
+ * @module
+ */
+import type { Member } from "../model/mod.js";
+import type { BoxSettings, SocketAddress } from "../platform/mod.js";
+import { servingBoxes } from "./serving_boxes.js";
+import { storeWatchers } from "./store_watchers.js";
+
+/** Most connections of one box to a leaf; more than this are never needed at its few slots. */
+const MOST_CONNECTIONS = 8;
+
+/** What the view is made from. */
+export interface FleetViewOptions {
+  readonly settings: () => Pick<BoxSettings, "box" | "dataCentre" | "regions" | "seeds">;
+  /** All boxes heard of, this one included. */
+  readonly members: () => ReadonlyArray<Member>;
+  /** Boxes that can be given work, this one included if it can. */
+  readonly alive: () => ReadonlyArray<Member>;
+}
+
+/** The fleet as one box sees it. */
+export class FleetView {
+  readonly #options: FleetViewOptions;
+  readonly #serving = new Map<string, ReadonlyArray<Member>>();
+
+  /**
+   * @param options - What the view is made from.
+   */
+  constructor(options: FleetViewOptions) {
+    this.#options = options;
+  }
+
+  /** Says that a box has changed, so that conclusions are drawn anew. */
+  changed(): void {
+    this.#serving.clear();
+  }
+
+  /** Boxes that share what is shared over all of them; no fewer than the settings name. */
+  countBoxes(): number {
+    const present = this.#options.members().filter(({ state }) => state !== "dead");
+    return Math.max(this.#options.settings().seeds.length, present.length);
+  }
+
+  /**
+   * Lists the boxes that serve a region. Asked for with each call, so it is kept until a box changes.
+   *
+   * @param region - The region.
+   * @returns The boxes.
+   */
+  servingBoxes(region: string): ReadonlyArray<Member> {
+    const kept = this.#serving.get(region);
+    if (kept !== undefined) {
+      return kept;
+    }
+    const { alive, settings } = this.#options;
+    const { regions } = settings();
+    const near = alive().filter(({ dataCentre }) => regions.get(dataCentre) === region);
+    const serving = servingBoxes(near);
+    this.#serving.set(region, serving);
+    return serving;
+  }
+
+  /**
+   * Lists the addresses that callers are told to use.
+   *
+   * @param region - Where the caller stands.
+   * @returns Addresses of that region's boxes; of all, where none there can be given work.
+   */
+  advise(region: string): ReadonlyArray<SocketAddress> {
+    const near = this.servingBoxes(region);
+    const advised = near.length > 0 ? near : this.#options.alive();
+    return advised.map(({ address, callerPort }) => ({ address, port: callerPort }));
+  }
+
+  /** Whether this box is among those that watch the store. */
+  watchesStore(): boolean {
+    return storeWatchers(this.#nearLiving()).has(this.#options.settings().box);
+  }
+
+  /** Boxes of the own region that do not watch the store. */
+  followers(): ReadonlyArray<Member> {
+    const near = this.#nearLiving();
+    const watchers = storeWatchers(near);
+    return near.filter(({ memberId }) => !watchers.has(memberId));
+  }
+
+  /**
+   * Works out how many connections this box may have to a leaf. Serving boxes share them; one that
+   * stands by needs few, if any.
+   *
+   * @param mostConnections - Connections that the leaf takes from all boxes.
+   * @returns This box's share, one at least.
+   */
+  connectionShare(mostConnections: number): number {
+    const { box, regions } = this.#options.settings();
+    const serving = [...new Set(regions.values())].flatMap((region) => this.servingBoxes(region));
+    const isServing = serving.some(({ memberId }) => memberId === box);
+    const sharers = isServing ? serving.length : this.countBoxes();
+    const share = Math.floor(mostConnections / (sharers + 1));
+    return Math.max(1, Math.min(MOST_CONNECTIONS, share));
+  }
+
+  #nearLiving(): ReadonlyArray<Member> {
+    const { members, settings } = this.#options;
+    const { dataCentre, regions } = settings();
+    const region = regions.get(dataCentre);
+    return members().filter((member) => {
+      const isLiving = member.state === "alive" || member.state === "joining";
+      return isLiving && regions.get(member.dataCentre) === region;
+    });
+  }
+}
--- /dev/null
+++ b/box/leaf_registry.ts
@@ -0,0 +1,149 @@
+/**
+ * The leafs that a box believes in, from the store or from peers, whichever is ahead.
+ *
+ * @module
+ */
+import {
+  applyLeafChanges,
+  applyLeafList,
+  dropOverdueLeafs,
+  type Leaf,
+  type LeafTable,
+  NO_LEAFS,
+} from "../leafs/mod.js";
+import {
+  decodeLeaf,
+  type StoreChanges,
+  type StoreList,
+  type StoreObject,
+} from "../platform/mod.js";
+import type { BoxTelemetry } from "./box_telemetry.js";
+import { LeafNews } from "./leaf_news.js";
+import { applyShared, type SharedKnowledge } from "./shared_knowledge.js";
+
+/** Leafs that a log line names at most. */
+const MOST_NAMED = 20;
+
+/** What the registry is made from. */
+export interface LeafRegistryOptions {
+  readonly telemetry: Pick<BoxTelemetry, "event">;
+  readonly nowMs: () => number;
+  /** Tells how long an entry that is gone may come back, in milliseconds; 0 for not at all. */
+  readonly graceMs: () => number;
+  /** Told after each change. */
+  readonly onChange: () => void;
+}
+
+/** Leafs with the revision of the store up to which they are known. */
+export class LeafRegistry {
+  readonly #options: LeafRegistryOptions;
+  readonly news = new LeafNews();
+  #table: LeafTable = NO_LEAFS;
+  #revision = 0;
+
+  /**
+   * @param options - What the registry is made from.
+   */
+  constructor(options: LeafRegistryOptions) {
+    this.#options = options;
+  }
+
+  /** Leafs believed in. */
+  get table(): LeafTable {
+    return this.#table;
+  }
+
+  /** Revision of the store up to which the leafs' entries are known; 0 before the first list. */
+  get revision(): number {
+    return this.#revision;
+  }
+
+  /**
+   * Takes in a whole list of the store. One that is older than what peers have told is passed over.
+   *
+   * @param list - The list.
+   */
+  takeList({ objects, revision }: StoreList): void {
+    if (revision >= this.#revision) {
+      const leafs = this.#decode(objects);
+      this.news.restart(revision);
+      this.#set(applyLeafList(this.#table, leafs, this.#removal()), revision);
+    }
+  }
+
+  /**
+   * Takes in changes of the store. Those that peers have told already are passed over.
+   *
+   * @param changes - The changes.
+   */
+  takeChanges({ changed, removed, revision }: StoreChanges): void {
+    if (revision > this.#revision) {
+      const leafs = this.#decode(changed);
+      this.news.note({ changed: changed.map(({ name }) => name), removed, revision });
+      const changes = { changed: leafs, removed };
+      this.#set(applyLeafChanges(this.#table, changes, this.#removal()), revision);
+    }
+  }
+
+  /**
+   * Takes over what a peer knows, where it is ahead.
+   *
+   * @param shared - What the peer handed over.
+   */
+  takeShared(shared: SharedKnowledge): void {
+    const { leafs, removed, leafsRevision } = shared;
+    if (leafsRevision <= this.#revision) {
+      return;
+    }
+    if (removed === undefined) {
+      this.news.restart(leafsRevision);
+    } else {
+      const changed = leafs.map(({ leafId }) => leafId);
+      this.news.note({ changed, removed, revision: leafsRevision });
+    }
+    this.#set(applyShared(this.#table, shared, this.#options.nowMs()), leafsRevision);
+  }
+
+  /** Drops the leafs whose entry did not come back in time. */
+  dropOverdue(): void {
+    const kept = dropOverdueLeafs(this.#table, { nowMs: this.#options.nowMs() });
+    if (kept !== this.#table) {
+      this.#set(kept, this.#revision);
+    }
+  }
+
+  #removal(): { readonly nowMs: number; readonly graceMs: number } {
+    return { nowMs: this.#options.nowMs(), graceMs: this.#options.graceMs() };
+  }
+
+  #decode(objects: ReadonlyArray<StoreObject>): ReadonlyArray<Leaf> {
+    return objects.flatMap(({ name, spec }) => {
+      const leaf = decodeLeaf(name, spec);
+      if (leaf === undefined) {
+        this.#options.telemetry.event("warn", "leafs: entry cannot be read", { leafId: name });
+      }
+      return leaf ?? [];
+    });
+  }
+
+  #set(table: LeafTable, revision: number): void {
+    const before = this.#table;
+    this.#table = table;
+    this.#revision = revision;
+    this.#options.telemetry.event("info", "leafs: changed", {
+      revision,
+      count: table.byId.size,
+      added: missingIn(before, table.byId.keys()),
+      gone: missingIn(table, before.byId.keys()),
+      draining: [...table.byId.values()]
+        .filter(({ draining }) => draining)
+        .map(({ leafId }) => leafId)
+        .slice(0, MOST_NAMED),
+    });
+    this.#options.onChange();
+  }
+}
+
+function missingIn({ byId }: LeafTable, leafIds: Iterable<string>): ReadonlyArray<string> {
+  return [...leafIds].filter((leafId) => !byId.has(leafId)).slice(0, MOST_NAMED);
+}
