--- /dev/null
+++ b/box/_run_world.ts
@@ -0,0 +1,73 @@
+/**
+ * What one request may ask of its box while it is decided: leafs, boxes, extra calls.
+ *
+ * @module
+ */
+import { type ChoiceView, chooseLeaf, type Placement } from "../leafs/mod.js";
+import type { ExtraCallKind } from "../limits/mod.js";
+import type { Member } from "../model/mod.js";
+import type { BoxChoice, LeafChoice, RequestWorld } from "../request/mod.js";
+import type { RunnerOptions } from "./request_runner.js";
+
+/** The box as one request sees it. */
+export class RunWorld implements RequestWorld {
+  /** Moment of the event that is being taken. */
+  nowMs = 0;
+  readonly #box: RunnerOptions;
+  readonly #placement: Placement;
+  readonly #chosenBoxes = new Map<string, Member>();
+  readonly #condition: ChoiceView["condition"];
+  readonly #distance: ChoiceView["distance"];
+
+  /**
+   * @param box - What the runner has of its box.
+   * @param placement - How the request's policy places calls.
+   */
+  constructor(box: RunnerOptions, placement: Placement) {
+    this.#box = box;
+    this.#placement = placement;
+    this.#condition = (leafId) => box.calls.condition(leafId);
+    this.#distance = (leaf) => box.places.distance(leaf);
+  }
+
+  /**
+   * Finds a box that was chosen before.
+   *
+   * @param box - Its name.
+   * @returns The box, or nothing where it was not chosen.
+   */
+  chosenBox(box: string): Member | undefined {
+    return this.#chosenBoxes.get(box);
+  }
+
+  chooseLeaf(service: string, excluded: ReadonlySet<string>): LeafChoice | undefined {
+    const { leafs, places } = this.#box;
+    const chosen = chooseLeaf(leafs().byService.get(service) ?? [], {
+      nowMs: this.nowMs,
+      condition: this.#condition,
+      distance: this.#distance,
+      excluded,
+      placement: this.#placement,
+    });
+    if (chosen === undefined) {
+      return undefined;
+    }
+    const { leaf, usualMs } = chosen;
+    return { leafId: leaf.leafId, expectedMs: usualMs, relayPlace: places.placeOf(leaf) };
+  }
+
+  chooseBox(relayPlace: string): BoxChoice | undefined {
+    const { places, relays } = this.#box;
+    const chosen = relays.choose(places.boxesAt(relayPlace));
+    if (chosen === undefined) {
+      return undefined;
+    }
+    const { member, usualMs } = chosen;
+    this.#chosenBoxes.set(member.memberId, member);
+    return { box: member.memberId, expectedMs: usualMs };
+  }
+
+  takeExtraCall(service: string, kind: ExtraCallKind): boolean {
+    return this.#box.takeExtraCall(service, kind);
+  }
+}
--- a/box/box_report.ts
+++ b/box/box_report.ts
@@ -121,7 +121,7 @@
     dataCentre,
     standing: standingOf(leaf, knowledge.leafs, seen),
     meanMs: Math.round(seen?.meanMs ?? 0),
-    openCalls: seen?.openCalls.size ?? 0,
+    openCalls: seen?.openCalls.length ?? 0,
     failuresInRow: seen?.failuresInRow ?? 0,
     avoidedForMs: Math.max(0, Math.round((seen?.avoidUntilMs ?? 0) - nowMs)),
   };
--- a/box/box_shell.ts
+++ b/box/box_shell.ts
@@ -107,7 +107,7 @@
         const terms = this.#knowledge.routes?.termsByService.get(service);
         return this.#view.connectionShare(terms?.maxConnections || Number.POSITIVE_INFINITY);
       },
-      onEnd: (result) => telemetry.attempts.inc({ outcome: result }),
+      onEnd: (result) => telemetry.attempts.add(result),
     });
     this.#budgets = new ExtraCallBudgets({
       share: () => this.#settings.extraCallShare,
@@ -128,7 +128,7 @@
       creditRequest: (service) => this.#budgets.credit(service),
       takeExtraCall: (service, kind) => {
         const allowed = this.#budgets.take(service, kind);
-        telemetry.extraCalls.inc({ kind: allowed ? kind : `${kind} refused` });
+        telemetry.extraCalls.add(allowed ? kind : `${kind} refused`);
         return allowed;
       },
     });
--- a/box/box_telemetry.ts
+++ b/box/box_telemetry.ts
@@ -31,6 +31,12 @@
 /** Values of a log line besides its sentence. */
 export type LogFields = LogEffect["fields"];
 
+/** A counter by one label for the busiest paths. */
+export interface Tally {
+  /** Counts one more with a label. */
+  add(label: string): void;
+}
+
 /** What a box tells of itself. */
 export interface BoxTelemetry {
   /** Writes a line, whatever the volume: starts, stops, what is lost and regained. */
@@ -39,8 +45,8 @@
   requestLine(sentence: string, fields: LogFields): void;
   readonly requests: Counter<"route" | "outcome">;
   readonly requestMs: Histogram<"route">;
-  readonly attempts: Counter<"outcome">;
-  readonly extraCalls: Counter<"kind">;
+  readonly attempts: Tally;
+  readonly extraCalls: Tally;
   readonly relayedParts: Counter;
   readonly storeCalls: Gauge;
   readonly linesDropped: Counter;
@@ -113,16 +119,16 @@
       buckets: LATENCY_BOUNDS_MS,
       registers,
     }),
-    attempts: new Counter({
+    attempts: tally({
       name: "rackvale_leaf_attempts_total",
       help: "Calls to leafs that ended, by outcome",
-      labelNames: ["outcome"],
+      labelName: "outcome",
       registers,
     }),
-    extraCalls: new Counter({
+    extraCalls: tally({
       name: "rackvale_extra_calls_total",
       help: "Calls beyond the first of a shard, by kind",
-      labelNames: ["kind"],
+      labelName: "kind",
       registers,
     }),
     relayedParts: new Counter({
@@ -146,3 +152,33 @@
     },
   };
 }
+
+interface TallyOptions {
+  readonly name: string;
+  readonly help: string;
+  readonly labelName: string;
+  readonly registers: Array<Registry>;
+}
+
+/** A counter for the busiest paths: labels are looked up only when metrics are read. */
+function tally({ name, help, labelName, registers }: TallyOptions): Tally {
+  const counts = new Map<string, number>();
+  // Registers itself.
+  new Counter({
+    name,
+    help,
+    labelNames: [labelName],
+    registers,
+    collect() {
+      this.reset();
+      for (const [label, count] of counts) {
+        this.inc({ [labelName]: label }, count);
+      }
+    },
+  });
+  return {
+    add: (label) => {
+      counts.set(label, (counts.get(label) ?? 0) + 1);
+    },
+  };
+}
--- a/box/extra_call_budgets.ts
+++ b/box/extra_call_budgets.ts
@@ -12,7 +12,7 @@
 } from "../limits/mod.js";
 
 /** Part of the allowed share that is spent; the rest is kept in hand for requests counted elsewhere. */
-const SHARE_USED = 0.95;
+const SHARE_USED = 0.85;
 
 /**
  * Part of the slack that all boxes together hold. A box that starts anew holds some again, and a
--- a/box/request_runner.ts
+++ b/box/request_runner.ts
@@ -5,9 +5,8 @@
  */
 import type { LeafCalls, OpenCall } from "../calls/mod.js";
 import type { Step } from "../core/mod.js";
-import { chooseLeaf, type Leaf, type LeafTable, type Placement } from "../leafs/mod.js";
+import type { LeafTable, Placement } from "../leafs/mod.js";
 import type { ExtraCallKind } from "../limits/mod.js";
-import type { Member } from "../model/mod.js";
 import type { RelayCalls } from "../relay/mod.js";
 import {
   type AttemptOutcome,
@@ -18,10 +17,10 @@
   type RequestState,
   type RequestTerms,
   type RequestTimer,
-  type RequestWorld,
   stepRequest,
 } from "../request/mod.js";
 import { RunOrders } from "./_run_orders.js";
+import { RunWorld } from "./_run_world.js";
 import type { RelayPlaces } from "./relay_places.js";
 
 /** A request as it is handed to leafs. */
@@ -125,13 +124,18 @@
   ) => void;
 };
 
+type DirectCall = Pick<
+  Extract<RequestEffect, { readonly kind: "call" }>,
+  "attemptId" | "shardIndex" | "leafId" | "deadlineAtMs"
+>;
+
 class Run implements RunningRequest {
   readonly #options: RunOptions;
   readonly #box: RunnerOptions;
   readonly #onDone: () => void;
   readonly #openCalls = new Map<number, OpenCall>();
   readonly #timers = new Map<RequestTimer, NodeJS.Timeout>();
-  readonly #chosenBoxes = new Map<string, Member>();
+  readonly #world: RunWorld;
   readonly #orders: RunOrders;
   #notes: ReadonlyArray<AttemptNote> = [];
   #state: RequestState;
@@ -141,11 +145,12 @@
     this.#box = box;
     this.#onDone = onDone;
     this.#state = newRequest(options.terms, options.services);
+    this.#world = new RunWorld(box, options.placement);
     const { nowMs, calls, relays } = box;
     const { terms, forwarded } = options;
     this.#orders = new RunOrders({
       ...{ nowMs, calls, relays, terms, forwarded },
-      chosenBox: (name) => this.#chosenBoxes.get(name),
+      chosenBox: (name) => this.#world.chosenBox(name),
       take: (event) => this.take(event),
       note: (asked, what) => this.#note(asked, what),
       onOpen: (attemptId, call) => this.#openCalls.set(attemptId, call),
@@ -164,7 +169,8 @@
 
   take(event: RequestEvent): void {
     const wasDone = this.#state.done;
-    const next: Step<RequestState, RequestEffect> = stepRequest(this.#state, event, this.#world());
+    this.#world.nowMs = this.#box.nowMs();
+    const next: Step<RequestState, RequestEffect> = stepRequest(this.#state, event, this.#world);
     this.#state = next.state;
     for (const effect of next.effects) {
       (this.#runners[effect.kind] as (effect: RequestEffect) => void)(effect);
@@ -179,7 +185,7 @@
       if ((this.#state.shards[shardIndex]?.runs ?? 0) > 1) {
         this.#note(leafId, "asked again");
       }
-      this.#call(attemptId, leafId, deadlineAtMs);
+      this.#call({ attemptId, shardIndex, leafId, deadlineAtMs });
     },
     relay: (effect) => this.#orders.relay(effect),
     askThrough: (effect) => this.#orders.askThrough(effect),
@@ -206,11 +212,11 @@
     }
   }
 
-  #call(attemptId: number, leafId: string, deadlineAtMs: number): void {
+  #call({ attemptId, shardIndex, leafId, deadlineAtMs }: DirectCall): void {
     const leaf = this.#box.leafs().byId.get(leafId);
     if (leaf === undefined) {
       const outcome = { kind: "failed", sent: false, reason: "leaf is gone" } as const;
-      queueMicrotask(() => this.take({ kind: "attemptEnded", attemptId, outcome }));
+      queueMicrotask(() => this.take({ kind: "attemptEnded", attemptId, shardIndex, outcome }));
       return;
     }
     const { requestId, route } = this.#options.terms;
@@ -219,7 +225,7 @@
     const open = this.#box.calls.send(call, (outcome) => {
       this.#openCalls.delete(attemptId);
       this.#noteEnd(leafId, outcome);
-      this.take({ kind: "attemptEnded", attemptId, outcome });
+      this.take({ kind: "attemptEnded", attemptId, shardIndex, outcome });
     });
     this.#openCalls.set(attemptId, open);
   }
@@ -232,36 +238,6 @@
     }
   }
 
-  #world(): RequestWorld {
-    const nowMs = this.#box.nowMs();
-    const { calls, leafs, places, relays, takeExtraCall } = this.#box;
-    return {
-      nowMs,
-      chooseLeaf: (service, excluded) => {
-        const condition = (leafId: string) => calls.condition(leafId);
-        const { placement } = this.#options;
-        const distance = (leaf: Leaf) => places.distance(leaf);
-        const view = { nowMs, condition, distance, excluded, placement };
-        const chosen = chooseLeaf(leafs().byService.get(service) ?? [], view);
-        if (chosen === undefined) {
-          return undefined;
-        }
-        const { leaf, usualMs } = chosen;
-        return { leafId: leaf.leafId, expectedMs: usualMs, relayPlace: places.placeOf(leaf) };
-      },
-      chooseBox: (relayPlace) => {
-        const chosen = relays.choose(places.boxesAt(relayPlace));
-        if (chosen === undefined) {
-          return undefined;
-        }
-        const { member, usualMs } = chosen;
-        this.#chosenBoxes.set(member.memberId, member);
-        return { box: member.memberId, expectedMs: usualMs };
-      },
-      takeExtraCall,
-    };
-  }
-
   #finish(): void {
     for (const timer of this.#timers.values()) {
       clearTimeout(timer);
--- a/calls/leaf_line.ts
+++ b/calls/leaf_line.ts
@@ -140,7 +140,12 @@
   }
 
   #hasOpen(): boolean {
-    return [...this.#connections].some((connection) => connection.isOpen);
+    for (const connection of this.#connections) {
+      if (connection.isOpen) {
+        return true;
+      }
+    }
+    return false;
   }
 
   #open(): void {
--- a/leafs/choose_leaf.ts
+++ b/leafs/choose_leaf.ts
@@ -101,7 +101,7 @@
 ): number {
   const warmMs = leaf.warmingForMs > 0 ? usualMs * WARMUP_FACTOR : usualMs;
   const toldShare = Math.max(0, 1 - (nowMs - condition.toldAtMs) / TOLD_LOAD_MS);
-  const load = Math.max(condition.openCalls.size, condition.toldLoad * toldShare);
+  const load = Math.max(condition.openCalls.length, condition.toldLoad * toldShare);
   const queuedMs = warmMs * Math.max(1, (load + 1) / leaf.slots);
   const silentMs = isSilent(condition, nowMs) ? SILENT_COST_MS : 0;
   const avoidMs = condition.avoidUntilMs > nowMs ? AVOID_COST_MS : 0;
@@ -118,7 +118,7 @@
  */
 export function isSilent(condition: LeafCondition, nowMs: number): boolean {
   const silentAfterMs = Math.max(SILENT_MS, SILENT_MEANS * condition.meanMs);
-  for (const sentAtMs of condition.openCalls.values()) {
+  for (const { sentAtMs } of condition.openCalls) {
     if (nowMs - sentAtMs > silentAfterMs) {
       return true;
     }
--- a/leafs/leaf_condition.ts
+++ b/leafs/leaf_condition.ts
@@ -5,12 +5,18 @@
  */
 import { updateMean } from "../latency/mod.js";
 
+/** A call that is not answered yet. */
+export interface OpenLeafCall {
+  readonly callId: number;
+  readonly sentAtMs: number;
+}
+
 /** What this box has seen of one leaf. */
 export interface LeafCondition {
   /** Mean time of an answered call, in milliseconds, the network included; 0 before the first. */
   readonly meanMs: number;
-  /** Calls of this box that the leaf has not answered yet, by id, with the moment they were sent. */
-  readonly openCalls: ReadonlyMap<number, number>;
+  /** Calls of this box that the leaf has not answered yet; few, so a list is the quickest. */
+  readonly openCalls: ReadonlyArray<OpenLeafCall>;
   /** Requests running and waiting at the leaf from all boxes, as it last told. */
   readonly toldLoad: number;
   /** When it told that. */
@@ -26,7 +32,7 @@
 /** A leaf that has not been asked yet. */
 export const NEW_CONDITION: LeafCondition = {
   meanMs: 0,
-  openCalls: new Map(),
+  openCalls: [],
   toldLoad: 0,
   toldAtMs: 0,
   failuresInRow: 0,
@@ -51,7 +57,7 @@
   condition: LeafCondition,
   { callId, nowMs }: { readonly callId: number; readonly nowMs: number },
 ): LeafCondition {
-  return { ...condition, openCalls: new Map(condition.openCalls).set(callId, nowMs) };
+  return { ...condition, openCalls: [...condition.openCalls, { callId, sentAtMs: nowMs }] };
 }
 
 /** How a call ended, as far as the leaf's condition is concerned. */
@@ -71,9 +77,8 @@
  * @returns The condition after that.
  */
 export function noteEnded(condition: LeafCondition, end: CallEnd): LeafCondition {
-  const openCalls = new Map(condition.openCalls);
-  const sentAtMs = openCalls.get(end.callId);
-  openCalls.delete(end.callId);
+  const sentAtMs = condition.openCalls.find(({ callId }) => callId === end.callId)?.sentAtMs;
+  const openCalls = condition.openCalls.filter(({ callId }) => callId !== end.callId);
   const told = end.toldLoad === undefined ? {} : { toldLoad: end.toldLoad, toldAtMs: end.nowMs };
   const ended = { ...condition, openCalls, ...told };
   return END_HANDLERS[end.result](ended, end.nowMs, sentAtMs ?? end.nowMs);
--- a/relay/_merged_relay.ts
+++ b/relay/_merged_relay.ts
@@ -161,6 +161,6 @@
   condition: LeafCondition,
   { slots, nowMs }: { readonly slots: number; readonly nowMs: number },
 ): boolean {
-  const isFull = condition.openCalls.size >= slots * FULL_FACTOR;
+  const isFull = condition.openCalls.length >= slots * FULL_FACTOR;
   return !isFull && condition.avoidUntilMs <= nowMs && !isSilent(condition, nowMs);
 }
--- a/relay/relay_calls.ts
+++ b/relay/relay_calls.ts
@@ -63,7 +63,7 @@
       const condition = this.#conditionOf(member);
       const isAvoided = condition.avoidUntilMs > now || isSilent(condition, now);
       // Ties fall to a random box, so that boxes that start together do not all ask the same one.
-      const load = condition.openCalls.size + Math.random();
+      const load = condition.openCalls.length + Math.random();
       if (!isAvoided && load < bestLoad) {
         const usualMs = condition.meanMs === 0 ? UNKNOWN_MS : condition.meanMs;
         best = { member, usualMs };
--- a/request/_attempts.ts
+++ b/request/_attempts.ts
@@ -6,7 +6,7 @@
 import { forEachStep, type Step, step } from "../core/mod.js";
 import type { ExtraCallKind } from "../limits/mod.js";
 import { planCalls, type RelayCall } from "./_plan.js";
-import { loseShard, openAttempt, updateShard } from "./_shards.js";
+import { loseShard, openAttempt } from "./_shards.js";
 import type {
   Attempt,
   LeafChoice,
@@ -46,10 +46,7 @@
   const { expectedMs } = box;
   const attempt: Attempt = { attemptId, asked: box.box, startedAtMs: nowMs, expectedMs };
   const sent = calls.reduce((now, { shardIndex, leaf }) => {
-    const opened = openAttempt(now, { shardIndex, attempt });
-    return updateShard(opened, shardIndex, (shard) => {
-      return { ...shard, expectedOfBox: leaf.leafId };
-    });
+    return openAttempt(now, { shardIndex, attempt, expectedOfBox: leaf.leafId });
   }, state);
   const relayed = calls.map(({ shardIndex, leaf }) => {
     return { service: state.shards[shardIndex]?.service ?? "", leafId: leaf.leafId };
@@ -119,10 +116,7 @@
   const attemptId = state.nextAttemptId;
   const { leafId, expectedMs, relayPlace } = leaf;
   const attempt: Attempt = { attemptId, asked: leafId, startedAtMs: nowMs, expectedMs };
-  const opened = openAttempt(state, { shardIndex, attempt });
-  const sent = updateShard(opened, shardIndex, (shard) => {
-    return { ...shard, asked: new Set(shard.asked).add(leafId) };
-  });
+  const sent = openAttempt(state, { shardIndex, attempt, askedLeaf: leafId });
   const { deadlineAtMs } = state.terms;
   return step(
     { ...sent, nextAttemptId: attemptId + 1 },
--- a/request/_outcomes.ts
+++ b/request/_outcomes.ts
@@ -5,32 +5,57 @@
  */
 import { type Step, step } from "../core/mod.js";
 import { askAgain, type ExtraAsking } from "./_attempts.js";
-import { isSettled, loseShard, updateShard } from "./_shards.js";
-import type { AttemptOutcome, RequestEffect, RequestState, RequestWorld } from "./request_state.js";
+import { endAttempt, isSettled, loseShard, updateShard } from "./_shards.js";
+import type {
+  AttemptOutcome,
+  LeafAnswer,
+  RequestEffect,
+  RequestState,
+  RequestWorld,
+} from "./request_state.js";
 
 type OutcomeStep = Step<RequestState, RequestEffect>;
 
 /** An attempt that has ended for a shard. */
 export interface EndedAttempt<Outcome> {
   readonly shardIndex: number;
+  readonly attemptId: number;
   readonly outcome: Outcome;
   readonly world: RequestWorld;
 }
 
 /**
- * Takes in how an attempt ended for one shard.
+ * Ends an attempt for one shard and takes in how it ended.
  *
  * @param state - The request.
  * @param ended - The attempt's end.
  * @returns The request after that, with another call where one may help.
  */
 export function takeOutcome(state: RequestState, ended: EndedAttempt<AttemptOutcome>): OutcomeStep {
-  const shard = state.shards[ended.shardIndex];
+  const { attemptId, outcome, shardIndex } = ended;
+  const shard = state.shards[shardIndex];
   if (shard === undefined || isSettled(shard)) {
-    return step(state);
+    return step(endAttempt(state, shardIndex, attemptId));
   }
-  const handler = OUTCOME_HANDLERS[ended.outcome.kind] as OutcomeHandler<AttemptOutcome>;
-  return handler(state, ended);
+  if (outcome.kind === "answered" && isUsable(state, outcome.answer)) {
+    return step(takePart(state, ended, outcome.answer));
+  }
+  const without = endAttempt(state, shardIndex, attemptId);
+  const handler = OUTCOME_HANDLERS[outcome.kind] as OutcomeHandler<AttemptOutcome>;
+  return handler(without, ended);
+}
+
+/** The usual way, so the shard is changed but once. */
+function takePart(
+  state: RequestState,
+  { attemptId, shardIndex }: EndedAttempt<AttemptOutcome>,
+  part: LeafAnswer,
+): RequestState {
+  const taken = updateShard(state, shardIndex, (shard) => {
+    const open = shard.open.filter((attempt) => attempt.attemptId !== attemptId);
+    return { ...shard, open, part };
+  });
+  return { ...taken, partsIn: state.partsIn + 1 };
 }
 
 type OutcomeHandler<Outcome> = (state: RequestState, ended: EndedAttempt<Outcome>) => OutcomeStep;
@@ -41,12 +66,8 @@
   >;
 } = {
   answered: (state, { shardIndex, outcome, world }) => {
-    const { answer } = outcome;
-    if (isUsable(state, answer)) {
-      const taken = updateShard(state, shardIndex, (shard) => ({ ...shard, part: answer }));
-      return step({ ...taken, partsIn: state.partsIn + 1 });
-    }
-    const kept = updateShard(state, shardIndex, (shard) => ({ ...shard, failure: answer }));
+    const failure = outcome.answer;
+    const kept = updateShard(state, shardIndex, (shard) => ({ ...shard, failure }));
     return recover(kept, { shardIndex, world, mayRepeat: state.terms.route.repeatable });
   },
   refused: (state, { shardIndex, world }) => {
--- a/request/_shards.ts
+++ b/request/_shards.ts
@@ -32,6 +32,10 @@
 export interface OpenedAttempt {
   readonly shardIndex: number;
   readonly attempt: Attempt;
+  /** Leaf that is asked directly; nothing where a box picks it. */
+  readonly askedLeaf?: string;
+  /** Leaf that a box is expected to ask. */
+  readonly expectedOfBox?: string;
 }
 
 /**
@@ -43,12 +47,14 @@
  */
 export function openAttempt(
   state: RequestState,
-  { shardIndex, attempt }: OpenedAttempt,
+  { shardIndex, attempt, askedLeaf, expectedOfBox }: OpenedAttempt,
 ): RequestState {
   return updateShard(state, shardIndex, (shard) => ({
     ...shard,
     runs: shard.runs + 1,
     open: [...shard.open, attempt],
+    asked: askedLeaf === undefined ? shard.asked : new Set(shard.asked).add(askedLeaf),
+    expectedOfBox: expectedOfBox ?? shard.expectedOfBox,
   }));
 }
 
--- a/request/record_merge.ts
+++ b/request/record_merge.ts
@@ -69,9 +69,34 @@
   return keys;
 }
 
-/** The number that a record must at least begin with to be among the greatest. */
+/** Numbers that are kept while the least one is looked for, as a multiple of the records wanted. */
+const KEPT_FACTOR = 4;
+
+/**
+ * Finds the number that a record must at least begin with to be among the greatest. Only numbers that
+ * may still count are kept and sorted, which is a fraction of all.
+ */
 function leastKey(keys: Float64Array, topRecords: number): number {
-  return keys.length <= topRecords ? 0 : (keys.slice().sort()[keys.length - topRecords] ?? 0);
+  if (keys.length <= topRecords || topRecords === 0) {
+    return 0;
+  }
+  const kept = new Float64Array(Math.min(keys.length, topRecords * KEPT_FACTOR));
+  let count = 0;
+  let least = 0;
+  for (const key of keys) {
+    if (key < least) {
+      continue;
+    }
+    if (count === kept.length) {
+      kept.sort();
+      kept.copyWithin(0, count - topRecords);
+      count = topRecords;
+      least = kept[0] ?? 0;
+    }
+    kept[count] = key;
+    count += 1;
+  }
+  return kept.subarray(0, count).sort()[count - topRecords] ?? 0;
 }
 
 function placesFrom(
--- a/request/request_core.ts
+++ b/request/request_core.ts
@@ -10,7 +10,7 @@
 import { judgeAtDeadline, judgeRequest } from "./_judge.js";
 import { takeOutcome } from "./_outcomes.js";
 import { takeRelayed } from "./_relayed.js";
-import { endAttempt, isSettled, shardsOf } from "./_shards.js";
+import { isSettled, shardsOf } from "./_shards.js";
 import type {
   RequestEffect,
   RequestEvent,
@@ -102,15 +102,12 @@
       judgeRequest,
     );
   },
-  attemptEnded: (state, { attemptId, outcome }, world) => {
-    const ended = forEachStep(unchanged(state), shardsOf(state, attemptId), (now, shardIndex) => {
-      const without = endAttempt(now, shardIndex, attemptId);
-      return takeOutcome(without, { shardIndex, outcome, world });
+  attemptEnded: (state, { attemptId, outcome, shardIndex: only }, world) => {
+    const shards = only === undefined ? shardsOf(state, attemptId) : [only];
+    const ended = forEachStep(unchanged(state), shards, (now, shardIndex) => {
+      return takeOutcome(now, { shardIndex, attemptId, outcome, world });
     });
-    return andThen(
-      andThen(bundleFarCalls(ended, world), (now) => wakeForHedge(now, world)),
-      judgeRequest,
-    );
+    return judgeAfterCalls(ended, world);
   },
   partsRelayed: (state, { attemptId, parts }, world) => {
     const taken = takeRelayed(state, parts);
@@ -120,18 +117,23 @@
     });
     const outcome = { kind: "failed", sent: false, reason: "declined" } as const;
     const asked = forEachStep(unchanged(taken), shards, (now, shardIndex) => {
-      const without = endAttempt(now, shardIndex, attemptId);
-      return takeOutcome(without, { shardIndex, outcome, world });
+      return takeOutcome(now, { shardIndex, attemptId, outcome, world });
     });
-    return andThen(
-      andThen(bundleFarCalls(asked, world), (now) => wakeForHedge(now, world)),
-      judgeRequest,
-    );
+    return judgeAfterCalls(asked, world);
   },
   timer: (state, { timer }, world) => TIMER_HANDLERS[timer](state, world),
   callerGone: (state) => step({ ...state, done: true }, ...abandonAll(state)),
 };
 
+/** Judges after an attempt's end. The timer stands as it is unless calls were made that may need another. */
+function judgeAfterCalls(made: RequestStep, world: RequestWorld): RequestStep {
+  if (made.effects.length === 0) {
+    return judgeRequest(made.state);
+  }
+  const called = andThen(bundleFarCalls(made, world), (now) => wakeForHedge(now, world));
+  return andThen(called, judgeRequest);
+}
+
 type TimerHandler = (state: RequestState, world: RequestWorld) => RequestStep;
 
 const TIMER_HANDLERS: Readonly<Record<RequestTimer, TimerHandler>> = {
--- a/request/request_state.ts
+++ b/request/request_state.ts
@@ -177,6 +177,8 @@
   | {
       readonly kind: "attemptEnded";
       readonly attemptId: number;
+      /** The only shard that it was for, where that is known. */
+      readonly shardIndex?: number;
       readonly outcome: AttemptOutcome;
     }
   | {
