After the store's return list at once and often; refuse truly what has too few leafs

The log of one box shows why: the list of leafs had begun 1 s after the start, before the configuration was known, hung on the silent store and came 1.0 s after the configuration. Entries that come back one after the other were heard 500 ms apart, and a query of which too many shards had no leaf was sent to the others, so that its refusal was a 502. Ruled out: the readiness that waits for leafs (10 to 20 ms). Change: leafs are listed once the configuration is known; a box that knows nothing yet gives the store 700 ms and tries again within 250; for 3 s after a return changes are gathered for 100 ms; a query that cannot reach its least share is refused as not run before anything is sent, to come back in 500 ms.

--- a/box/box_knowledge.ts
+++ b/box/box_knowledge.ts
@@ -149,7 +149,11 @@
   }
 
   #wantsLeafWatch(): boolean {
-    const services = this.#routes?.configuration.services.length ?? Number.POSITIVE_INFINITY;
+    if (this.#routes === undefined) {
+      // It says how many leafs there may be, and without it they are of no use.
+      return false;
+    }
+    const services = this.#routes.configuration.services.length;
     if (this.#leafs.revision === 0 && services > FEW_SERVICES) {
       const sinceStartMs = this.#options.nowMs() - this.#startedAtMs;
       return sinceStartMs > (this.#isWatcher ? LEARN_PEERS_MS : WAIT_FOR_PEER_MS);
--- a/box/registry_watch.ts
+++ b/box/registry_watch.ts
@@ -17,6 +17,15 @@
  */
 export const GATHER_MS = 500;
 
+/**
+ * The same just after the store was first heard, or heard again: entries that lapsed come back one
+ * after the other then, and each is missed.
+ */
+const SETTLE_GATHER_MS = 100;
+
+/** Time for which that holds, in milliseconds. */
+const SETTLE_MS = 3_000;
+
 /** Kept in hand between the latest moment at which a change is heard and the one it is due, in milliseconds. */
 const SLACK_MS = 500;
 
@@ -50,6 +59,16 @@
 /** Waits after failures in a row, in milliseconds; the store must be found within 2 s of its return. */
 const BACKOFF_MS = [100, 250, 500, 800] as const;
 
+/**
+ * Times that the store has for the answer to a list, in milliseconds, by failures in a row. A box that
+ * knows nothing yet can do nothing else, and a call that began while the store was silent is not
+ * answered after its return; every fourth waits longer, in case the store is slow.
+ */
+const LIST_ANSWERS_MS = [700, 700, 700, STORE_ANSWER_MS] as const;
+
+/** Longest pause before the next list, in milliseconds. */
+const MOST_LIST_PAUSE_MS = 250;
+
 /** Where the news of a kind goes. */
 export interface RegistryListener {
   /** Told of all objects after a list. */
@@ -84,6 +103,7 @@
   #revision: number | undefined;
   #failures = 0;
   #hasListed = false;
+  #settledAtMs = 0;
   #isWanted = true;
   #onWanted: () => void = () => undefined;
 
@@ -140,12 +160,16 @@
   async #list(): Promise<number> {
     const { store, kind, mayBeStale } = this.#options;
     // Only the first list may be old: one after the history was lost must hold what the gap hid.
-    const list = await store.list(kind, { mayBeStale: mayBeStale && !this.#hasListed });
+    const list = await store.list(kind, {
+      mayBeStale: mayBeStale && !this.#hasListed,
+      answerMs: LIST_ANSWERS_MS[this.#failures % LIST_ANSWERS_MS.length] ?? STORE_ANSWER_MS,
+    });
     if (list.isErr()) {
-      return this.#fail(list.error);
+      return Math.min(MOST_LIST_PAUSE_MS, this.#fail(list.error));
     }
     this.#recover();
     this.#hasListed = true;
+    this.#settledAtMs = performance.now() + SETTLE_MS;
     this.#revision = list.value.revision;
     this.#listener.onList(list.value);
     return 0;
@@ -170,7 +194,7 @@
       return 0;
     }
     this.#listener.onChanges(changes.value);
-    return GATHER_MS;
+    return performance.now() < this.#settledAtMs ? SETTLE_GATHER_MS : GATHER_MS;
   }
 
   #fail(error: StoreError): number {
@@ -185,6 +209,7 @@
     this.#listener.onHeard();
     if (this.#failures > 0) {
       this.#failures = 0;
+      this.#settledAtMs = performance.now() + SETTLE_MS;
       this.#listener.onRegained();
     }
   }
--- a/box/registry_watch_test.ts
+++ b/box/registry_watch_test.ts
@@ -107,3 +107,27 @@
     t.same(calls, ["watch 42"]);
   },
 );
+
+t.test("a box that knows nothing yet lists often, and now and then with more time", async (t) => {
+  const answersMs: Array<number | undefined> = [];
+  const store: Store = {
+    list: async (_kind, { answerMs }) => {
+      answersMs.push(answerMs);
+      if (answersMs.length === 5) {
+        watch.stop();
+      }
+      return DOWN;
+    },
+    watch: async () => NOTHING,
+  };
+  const silent = (): void => undefined;
+  const watch = new RegistryWatch(
+    { store, kind: "leafs", waitMs: 2_000, mayBeStale: true },
+    {
+      ...{ onList: silent, onChanges: silent, onHeard: silent },
+      ...{ onHistoryGone: silent, onLost: silent, onRegained: silent },
+    },
+  );
+  await watch.run();
+  t.same(answersMs, [700, 700, 700, STORE_ANSWER_MS, 700]);
+});
--- a/request/_attempts.ts
+++ b/request/_attempts.ts
@@ -5,6 +5,7 @@
  */
 import { forEachStep, type Step, step } from "../core/mod.js";
 import type { ExtraCallKind } from "../limits/mod.js";
+import { canReachLeastShare } from "./_judge.js";
 import { planCalls, type RelayCall } from "./_plan.js";
 import { loseShard, openAttempt } from "./_shards.js";
 import type {
@@ -35,6 +36,11 @@
   const { direct, relays, unserved } = planCalls(first.state, world);
   const { nowMs } = world;
   const without = unserved.reduce(loseShard, first.state);
+  const { target } = without.terms.route;
+  if (target.kind === "gather" && !canReachLeastShare(without, target)) {
+    // Nothing is sent, so that the refusal can say that the request has not run.
+    return { ...first, state: without };
+  }
   const called = forEachStep({ ...first, state: without }, direct, (now, { shardIndex, leaf }) => {
     return sendAttempt(now, { shardIndex, leaf, nowMs });
   });
--- a/request/_judge.ts
+++ b/request/_judge.ts
@@ -8,8 +8,11 @@
 import { mergeRecords } from "./record_merge.js";
 import type { Reply, RequestEffect, RequestState } from "./request_state.js";
 
-/** When a request that could not be offered to a leaf may be asked again, in milliseconds. */
-const NO_LEAF_RETRY_MS = 250;
+/**
+ * When a request that could not be offered to a leaf may be asked again, in milliseconds: entries that
+ * lapsed while the store was away come back within two seconds, most of them sooner.
+ */
+const NO_LEAF_RETRY_MS = 500;
 
 type JudgedStep = Step<RequestState, RequestEffect>;
 
@@ -98,7 +101,14 @@
   return state.partsIn > 0 && state.partsIn >= leastParts(state, target);
 }
 
-function canReachLeastShare(state: RequestState, target: GatherTarget): boolean {
+/**
+ * Tells whether a gathered request can still be answered with success.
+ *
+ * @param state - The request.
+ * @param target - What it gathers.
+ * @returns Whether enough shards are not lost.
+ */
+export function canReachLeastShare(state: RequestState, target: GatherTarget): boolean {
   return state.shards.length - state.partsLost >= Math.max(1, leastParts(state, target));
 }
 
--- a/request/request_core_test.ts
+++ b/request/request_core_test.ts
@@ -40,6 +40,8 @@
   /** Ends of the leafs' ids that lie in another region; "a" by default. */
   readonly relayedLeafs?: ReadonlyArray<string>;
   readonly finishShare?: number;
+  /** Services that have no leaf. */
+  readonly withoutLeafs?: ReadonlyArray<string>;
 }
 
 /** Drives one request: leafs are `<service>-a` and `<service>-b`, extra calls as many as told. */
@@ -49,6 +51,7 @@
   nowMs = 0;
   extraCalls: number;
   readonly relayedLeafs: ReadonlyArray<string>;
+  readonly withoutLeafs: ReadonlyArray<string>;
   leafs: ReadonlyArray<string> = ["a", "b"];
   /** Whether another region has a box to rely on. */
   hasBox = true;
@@ -60,6 +63,7 @@
       relayedLeafs = far ? ["a"] : [],
       finishShare = 1,
     } = options;
+    this.withoutLeafs = options.withoutLeafs ?? [];
     this.extraCalls = extraCalls;
     this.relayedLeafs = relayedLeafs;
     const terms = {
@@ -80,7 +84,8 @@
     const world: RequestWorld = {
       nowMs: this.nowMs,
       chooseLeaf: (service, excluded) => {
-        const leafIds = this.leafs.map((leaf) => `${service}-${leaf}`);
+        const leafs = this.withoutLeafs.includes(service) ? [] : this.leafs;
+        const leafIds = leafs.map((leaf) => `${service}-${leaf}`);
         const leafId = leafIds.find((each) => !excluded.has(each));
         const isFar = this.relayedLeafs.some((end) => leafId?.endsWith(`-${end}`));
         const relayPlace = isFar ? "south" : undefined;
@@ -336,3 +341,15 @@
   const effects = far.take({ kind: "partsRelayed", attemptId: 1, parts });
   t.match(effects[0], { kind: "askThrough", leastRecord: undefined }, "one record of two is in");
 });
+
+t.test("nothing is sent where too many shards have no leaf, and the refusal is true", async (t) => {
+  const most: Route = {
+    ...GATHER,
+    target: { kind: "gather", shards: ["s1", "s2"], topRecords: 2, leastShare: 0.9 },
+  };
+  const driver = new Driver(most, { withoutLeafs: ["s2"] });
+  t.same(calls(driver.effects), []);
+  t.match(replyOf(driver.effects), { kind: "notRun" });
+  const fewer = new Driver(GATHER, { withoutLeafs: ["s2"] });
+  t.same(calls(fewer.effects), ["s1-a"], "half of the parts suffice");
+});
