--- a/box/registry_watch.ts
+++ b/box/registry_watch.ts
@@ -18,8 +18,8 @@
 export const GATHER_MS = 500;
 
 /**
- * The same just after the store was first heard, or heard again: entries that lapsed come back one
- * after the other then, and each is missed.
+ * The same just after the store is heard again: entries that lapsed come back one after the other
+ * then, and each is missed.
  */
 const SETTLE_GATHER_MS = 100;
 
@@ -169,7 +169,6 @@
     }
     this.#recover();
     this.#hasListed = true;
-    this.#settledAtMs = performance.now() + SETTLE_MS;
     this.#revision = list.value.revision;
     this.#listener.onList(list.value);
     return 0;
