--- a/soak/soak_node.ts
+++ b/soak/soak_node.ts
@@ -108,3 +108,13 @@
     this.#timers.delete(key);
   }
 }
+
+/**
+ * Names a timer, so that a later one with the same name takes its place.
+ *
+ * @param timer - The timer.
+ * @returns Its name.
+ */
+export function timerKey(timer: { readonly kind: string; readonly id?: string }): string {
+  return `${timer.kind} ${timer.id ?? ""}`;
+}
--- a/soak/soak_world.ts
+++ b/soak/soak_world.ts
@@ -6,22 +6,18 @@
  *
  * @module
  */
-import type { ControlEffect, ControlEvent, Exchange, PeerAddress } from "../control/mod.js";
-import { unknownOutcome } from "../entry/answers.js";
-import { type EntryEffect, newEntryState, stepEntry } from "../entry/mod.js";
-import {
-  ANSWER_MARGIN_MS,
-  type Member,
-  type QueryAnswer,
-  type QueryRequest,
-  type Role,
-} from "../model/mod.js";
-import { newPoolState, type PoolEffect, stepPool } from "../pool/mod.js";
+import type { PeerAddress } from "../control/mod.js";
+import { newEntryState, stepEntry } from "../entry/mod.js";
+import type { Member, QueryRequest, Role } from "../model/mod.js";
+import { newPoolState, stepPool } from "../pool/mod.js";
 import type { FakeLeaf, FakeRun } from "./fake_leaf.js";
 import { FakePlatform } from "./fake_platform.js";
 import type { Schedule } from "./schedule.js";
+import { SoakControl } from "./soak_control.js";
+import { type AnswerListener, SoakEntries } from "./soak_entries.js";
 import { type EntryNode, type PoolNode, SoakNetwork } from "./soak_network.js";
 import { SoakNode } from "./soak_node.js";
+import { SoakPools } from "./soak_pools.js";
 
 /** A box with the daemons that run on it now. */
 export interface SoakBox {
@@ -31,17 +27,11 @@
   pool: PoolNode;
 }
 
-/** Time another daemon has for an answer, in milliseconds. */
-const ANSWER_MS = 1_000;
-
 /** Time that callers may keep advice in a run, in milliseconds. */
 const ADVICE_KEEP_MS = 500;
 
 const PORTS: Readonly<Record<Role, number>> = { entry: 1, pool: 2 };
 
-/** A query on its way, and who is told its answer. */
-type AnswerListener = (answer: QueryAnswer) => void;
-
 /** The world. */
 export class SoakWorld {
   readonly schedule: Schedule;
@@ -56,7 +46,8 @@
   /** Calls that leafs took after they signalled that they leave, with how long after. */
   readonly lateWork: Array<{ readonly leafId: string; readonly afterMs: number }> = [];
   readonly network: SoakNetwork;
-  readonly #answers = new Map<string, AnswerListener>();
+  readonly #entries: SoakEntries;
+  readonly #pools: SoakPools;
   #incarnations = 0;
   #requests = 0;
 
@@ -70,6 +61,9 @@
       findPool: (poolId) => this.boxes.find(({ pool }) => pool.self.memberId === poolId)?.pool,
       note: (kind) => this.note(kind),
     });
+    const control = new SoakControl(this);
+    this.#entries = new SoakEntries(this, control);
+    this.#pools = new SoakPools(this, control);
   }
 
   /**
@@ -160,7 +154,7 @@
       self,
       state: newEntryState(this.#options(self)),
       step: stepEntry,
-      run: (effect) => this.#runEntryEffect(node, effect),
+      run: (effect) => this.#entries.run(node, effect),
     });
     node.deliver((nowMs) => ({ kind: "started", nowMs }));
     return node;
@@ -172,7 +166,7 @@
       self,
       state: newPoolState(this.#options(self)),
       step: stepPool,
-      run: (effect) => this.#runPoolEffect(node, effect),
+      run: (effect) => this.#pools.run(node, effect),
     });
     node.deliver((nowMs) => ({ kind: "started", nowMs }));
     return node;
@@ -198,7 +192,13 @@
     });
   }
 
-  #nodeAt({ address, peerPort }: PeerAddress): EntryNode | PoolNode | undefined {
+  /**
+   * Finds the daemon at an address.
+   *
+   * @param peer - Its address and port.
+   * @returns The daemon that runs there now, or nothing where there is none.
+   */
+  nodeAt({ address, peerPort }: PeerAddress): EntryNode | PoolNode | undefined {
     const box = this.boxes.find((each) => each.box === address);
     return peerPort === PORTS.entry ? box?.entry : box?.pool;
   }
@@ -211,203 +211,9 @@
    * @param listener - Told the answer; never, where the entry ends first.
    */
   ask(entry: EntryNode, request: QueryRequest, listener: AnswerListener): void {
-    this.#arrive(entry, request, { forwarded: false, listener });
-  }
-
-  #arrive(
-    entry: EntryNode,
-    request: QueryRequest,
-    options: { readonly forwarded: boolean; readonly listener: AnswerListener },
-  ): void {
-    this.#requests += 1;
-    const queryId = `q${this.#requests}`;
-    this.#answers.set(`${entry.self.incarnation} ${queryId}`, options.listener);
-    this.#asked.set(`${entry.self.incarnation} ${queryId}`, request);
-    const { forwarded } = options;
-    entry.deliver((nowMs) => ({ kind: "queryArrived", nowMs, queryId, request, forwarded }));
-  }
-
-  readonly #asked = new Map<string, QueryRequest>();
-
-  #runControl(node: EntryNode | PoolNode, effect: ControlEffect): void {
-    const deliver = node.deliver.bind(node) as (make: (nowMs: number) => ControlEvent) => void;
-    const { box } = node.self;
-    switch (effect.kind) {
-      case "exchange":
-        this.#exchange(node, effect, deliver);
-        return;
-      case "replyExchange":
-        this.#replies.get(effect.requestId)?.(effect.exchange);
-        this.#replies.delete(effect.requestId);
-        return;
-      case "fetchObjects":
-        this.network.send(box, effect.peer.address, () => {
-          const peer = this.#nodeAt(effect.peer);
-          const held = peer?.isAlive === true ? peer.state.control.catalog.objects : undefined;
-          const objects = effect.keys.flatMap((key) => held?.get(key) ?? []);
-          this.network.send(effect.peer.address, box, () =>
-            deliver((nowMs) => ({ kind: "objectsFetched", nowMs, objects })),
-          );
-        });
-        return;
-      case "watchPlatform":
-        if (effect.enabled) {
-          this.#watch(node, deliver);
-        }
-        return;
-      case "stop":
-        this.note("planned stop ended");
-        node.isAlive = false;
-        this.network.breakLinks((link) => link.entry === node || link.pool === node);
-        return;
-      case "log":
-        if (effect.part === "invariant") {
-          this.broken.push(
-            `${node.self.memberId}: ${effect.message} ${JSON.stringify(effect.fields)}`,
-          );
-        }
-        return;
-      default:
-    }
-  }
-
-  readonly #replies = new Map<number, (exchange: Exchange) => void>();
-
-  #exchange(
-    node: EntryNode | PoolNode,
-    effect: Extract<ControlEffect, { readonly kind: "exchange" }>,
-    deliver: (make: (nowMs: number) => ControlEvent) => void,
-  ): void {
-    const { box } = node.self;
-    let settled = false;
-    this.schedule.after(ANSWER_MS, () => {
-      if (!settled) {
-        settled = true;
-        deliver((nowMs) => ({ kind: "exchangeFailed", nowMs, memberId: effect.memberId }));
-      }
-    });
-    this.network.send(box, effect.peer.address, () => {
-      this.#requests += 1;
-      const requestId = this.#requests;
-      this.#replies.set(requestId, (exchange) => {
-        this.network.send(effect.peer.address, box, () => {
-          settled = true;
-          deliver((nowMs) => ({ kind: "exchangeAnswered", nowMs, peer: effect.peer, exchange }));
-        });
-      });
-      const peer = this.#nodeAt(effect.peer);
-      const arrive = (nowMs: number): ControlEvent => {
-        return { kind: "exchangeArrived", nowMs, requestId, exchange: effect.exchange };
-      };
-      (peer as EntryNode | undefined)?.deliver(arrive);
-    });
-  }
-
-  readonly #watching = new Set<string>();
-
-  #watch(
-    node: EntryNode | PoolNode,
-    deliver: (make: (nowMs: number) => ControlEvent) => void,
-  ): void {
-    const { incarnation, box } = node.self;
-    if (this.#watching.has(incarnation)) {
-      return;
-    }
-    this.#watching.add(incarnation);
-    const look = (): void => {
-      if (!node.isAlive || !node.state.control.watching) {
-        this.#watching.delete(incarnation);
-        return;
-      }
-      if (this.platform.faults.down || this.network.isCut(box, "platform")) {
-        deliver((nowMs) => ({ kind: "platformFailed", nowMs, message: "down" }));
-      } else {
-        const objects = this.platform.objects();
-        const boxList = this.platform.boxList();
-        deliver((nowMs) => ({ kind: "platformAnswered", nowMs, objects, boxList, complete: true }));
-      }
-      this.schedule.after(200 + this.platform.faults.slowMs, look);
-    };
-    this.schedule.after(5 + this.platform.faults.slowMs, look);
-  }
-
-  #runEntryEffect(node: EntryNode, effect: EntryEffect): void {
-    const { incarnation } = node.self;
-    switch (effect.kind) {
-      case "setTimer": {
-        const { timer } = effect;
-        node.setTimer(timerKey(timer), effect.delayMs, (nowMs) => ({ ...timer, nowMs }));
-        return;
-      }
-      case "clearTimer":
-        node.clearTimer(timerKey(effect.timer));
-        return;
-      case "sendCall":
-        this.network.stream(node, effect.poolId, (pool) =>
-          pool.deliver((nowMs) => {
-            const calls = [effect.call];
-            return {
-              kind: "callsArrived",
-              nowMs,
-              entryId: incarnation,
-              calls,
-              cancelledCallIds: [],
-            };
-          }),
-        );
-        return;
-      case "cancelCall":
-        this.network.stream(node, effect.poolId, (pool) =>
-          pool.deliver((nowMs) => {
-            const cancelledCallIds = [effect.callId];
-            return {
-              kind: "callsArrived",
-              nowMs,
-              entryId: incarnation,
-              calls: [],
-              cancelledCallIds,
-            };
-          }),
-        );
-        return;
-      case "openPools":
-        for (const pool of effect.pools) {
-          this.schedule.after(2, () => this.network.openLink(node, pool.memberId));
-        }
-        return;
-      case "answer": {
-        const key = `${incarnation} ${effect.queryId}`;
-        const listener = this.#answers.get(key);
-        this.#answers.delete(key);
-        this.#asked.delete(key);
-        listener?.(effect.answer);
-        return;
-      }
-      case "giveTicket":
-        this.#tickets.get(effect.requestId)?.(effect.ticket);
-        this.#tickets.delete(effect.requestId);
-        return;
-      case "forward":
-        this.#forward(node, effect);
-        return;
-      case "borrow":
-        this.#borrow(node, effect);
-        return;
-      case "replyBorrow":
-        this.#loans.get(effect.requestId)?.(effect.tokens);
-        this.#loans.delete(effect.requestId);
-        return;
-      case "count":
-      case "timing":
-        return;
-      default:
-        this.#runControl(node, effect);
-    }
+    this.#entries.arrive(entry, request, { forwarded: false, listener });
   }
 
-  readonly #tickets = new Map<string, (ticket: string) => void>();
-  readonly #loans = new Map<number, (tokens: number) => void>();
-
   /**
    * Asks an entry for a ticket.
    *
@@ -415,151 +221,12 @@
    * @param give - Told the ticket; never, where the entry ends first.
    */
   askTicket(entry: EntryNode, give: (ticket: string) => void): void {
-    this.#requests += 1;
-    const requestId = `t${this.#requests}`;
-    this.#tickets.set(requestId, give);
-    entry.deliver((nowMs) => ({ kind: "ticketWanted", nowMs, requestId }));
+    this.#entries.askTicket(entry, give);
   }
 
-  #forward(node: EntryNode, effect: Extract<EntryEffect, { readonly kind: "forward" }>): void {
-    const key = `${node.self.incarnation} ${effect.queryId}`;
-    const request = this.#asked.get(key);
-    const target = this.boxes.find(({ box }) => box === effect.member.box)?.entry;
-    if (request === undefined || target === undefined) {
-      return;
-    }
-    const settle = (answer: QueryAnswer): void => {
-      const listener = this.#answers.get(key);
-      this.#answers.delete(key);
-      listener?.(answer);
-    };
-    // The shell gives up on the other entry shortly before the caller's deadline.
-    this.schedule.after(request.deadlineMs - ANSWER_MARGIN_MS, () => {
-      if (node.isAlive) {
-        settle(unknownOutcome(node.state, node.nowMs, "Cannot tell whether the query ran: silent"));
-      }
-    });
-    this.network.send(node.self.box, effect.member.box, () =>
-      this.#arrive(target, request, {
-        forwarded: true,
-        listener: (answer) =>
-          this.network.send(effect.member.box, node.self.box, () => settle(answer)),
-      }),
-    );
-  }
-
-  #borrow(node: EntryNode, effect: Extract<EntryEffect, { readonly kind: "borrow" }>): void {
-    const { lender, service, tokens } = effect;
-    const { box } = node.self;
-    let settled = false;
-    const settle = (lent: number): void => {
-      if (!settled) {
-        settled = true;
-        node.deliver((nowMs) => ({ kind: "loanArrived", nowMs, service, tokens: lent }));
-      }
-    };
-    this.schedule.after(ANSWER_MS, () => settle(0));
-    this.network.send(box, lender.box, () => {
-      this.#requests += 1;
-      const requestId = this.#requests;
-      this.#loans.set(requestId, (lent) => this.network.send(lender.box, box, () => settle(lent)));
-      const target = this.boxes.find((each) => each.box === lender.box)?.entry;
-      target?.deliver((nowMs) => ({ kind: "borrowArrived", nowMs, requestId, service, tokens }));
-    });
-  }
-
-  #runPoolEffect(node: PoolNode, effect: PoolEffect): void {
-    const { self } = node;
-    switch (effect.kind) {
-      case "setTimer": {
-        const { timer } = effect;
-        node.setTimer(timerKey(timer), effect.delayMs, (nowMs) => ({ ...timer, nowMs }));
-        return;
-      }
-      case "dispatch":
-        this.#dispatch(node, effect.dispatch);
-        return;
-      case "cancelDispatch": {
-        const callId = `${self.incarnation}.${effect.flightId}`;
-        const leaf = this.leafs.get(effect.leaf.leafId);
-        this.schedule.after(1, () => leaf?.cancel(callId));
-        return;
-      }
-      case "reply": {
-        const { entryId, results, reports } = effect;
-        const poolId = self.memberId;
-        const link = this.network.link(entryId, poolId);
-        if (link?.pool === node) {
-          this.network.send(self.box, link.entry.self.box, () => {
-            if (link.entry.self.incarnation === entryId) {
-              link.entry.deliver((nowMs) => ({
-                kind: "resultsArrived",
-                nowMs,
-                poolId,
-                results,
-                reports,
-              }));
-            }
-          });
-        }
-        return;
-      }
-      case "probeLeafs":
-        for (const { service, leafId } of effect.leafs) {
-          this.schedule.after(1, () => {
-            const leaf = this.leafs.get(leafId);
-            const signal = leaf === undefined || leaf.isDown ? undefined : leaf.state;
-            const leafKey = `${service} ${leafId}`;
-            node.deliver((nowMs) => ({ kind: "leafProbed", nowMs, leafKey, signal }));
-          });
-        }
-        return;
-      case "count":
-      case "timing":
-        return;
-      default:
-        this.#runControl(node, effect);
-    }
-  }
-
-  #dispatch(
-    node: PoolNode,
-    dispatch: Extract<PoolEffect, { readonly kind: "dispatch" }>["dispatch"],
-  ): void {
-    const { flightId, leaf: spec } = dispatch;
-    const leaf = this.leafs.get(spec.leafId);
-    const end = (
-      outcome: Parameters<FakeLeaf["take"]>[2] extends (a: infer A) => void ? A : never,
-    ) => node.deliver((nowMs) => ({ kind: "leafAnswered", nowMs, flightId, ...outcome }));
-    const fail = (notSent: boolean): void =>
-      end({ outcome: { kind: "failed", reason: "leaf failed", notSent }, signal: undefined });
-    if (leaf === undefined || leaf.isDown) {
-      this.schedule.after(1, () => fail(true));
-      return;
-    }
-    const sinceMs = this.schedule.nowMs - leaf.leavingSinceMs;
-    if (sinceMs > 0) {
-      this.lateWork.push({ leafId: leaf.leafId, afterMs: sinceMs });
-    }
-    const cutShare = this.network.noise.lost;
-    if (this.schedule.chance(cutShare)) {
-      this.note("call cut before its write");
-      this.schedule.after(1, () => fail(true));
-      return;
-    }
-    const callId = `${node.self.incarnation}.${flightId}`;
-    const loseAnswer = this.schedule.chance(cutShare);
-    if (loseAnswer) {
-      this.note("answer of a leaf lost");
-    }
-    this.schedule.after(1, () =>
-      leaf.take(callId, dispatch, (answer) => {
-        this.schedule.after(1, () => (loseAnswer ? fail(false) : end(answer)));
-      }),
-    );
+  /** Numbers the requests of a run. */
+  nextRequest(): number {
+    this.#requests += 1;
+    return this.#requests;
   }
 }
-
-function timerKey(timer: { readonly kind: string; readonly id?: string }): string {
-  return `${timer.kind} ${timer.id ?? ""}`;
-}
