--- /dev/null
+++ b/e2e/stops_and_starts_test.ts
@@ -0,0 +1,112 @@
+import t from "tap";
+import type { QueryAnswer } from "../model/mod.js";
+import {
+  Fleet,
+  getJson,
+  pause,
+  postJson,
+  putJson,
+  SAMPLE_SHAPES,
+  until,
+  urlOf,
+} from "../standins/mod.js";
+
+const SHAPE = { ...SAMPLE_SHAPES["settle-desk"], dataCentres: ["here"] };
+
+function startFleet(boxes: number): Promise<Fleet> {
+  const adviceKeepMs = 500;
+  return Fleet.start({ boxes, dataCentres: ["here"], seed: 3, adviceKeepMs, logLevel: "warn" });
+}
+
+t.test("a planned stop of every box in turn cuts no query", async (t) => {
+  const fleet = await startFleet(3);
+  t.teardown(() => fleet.stop());
+  await fleet.addService(SHAPE);
+  let urls = fleet.boxes.map((box) => urlOf(box.entry));
+  let readAtMs = performance.now();
+  let keepForMs = 500;
+
+  /** A caller that follows the API page: keeps advice as long as told, then asks anew. */
+  async function advised(): Promise<ReadonlyArray<string>> {
+    if (performance.now() - readAtMs < keepForMs) {
+      return urls;
+    }
+    for (const url of urls) {
+      const advice = (await getJson(`${url}/v1/entries`).catch(() => undefined)) as
+        | { entries: ReadonlyArray<{ address: string; port: number }>; keepForMs: number }
+        | undefined;
+      if (advice !== undefined) {
+        urls = advice.entries.map(({ address, port }) => `http://${address}:${port}`);
+        ({ keepForMs } = advice);
+        readAtMs = performance.now();
+        return urls;
+      }
+    }
+    throw new Error("Cannot find an entry");
+  }
+
+  const faults: Array<string> = [];
+  let asked = 0;
+  let isOver = false;
+  async function caller(name: string): Promise<void> {
+    while (!isOver) {
+      asked += 1;
+      const now = await advised();
+      const url = now[asked % now.length];
+      const body = { caller: name, deadlineMs: 5_000, body: { mark: `${name}-${asked}` } };
+      try {
+        const answer = await postJson(`${url}/v1/services/settle-desk/query`, body);
+        const { outcome, message } = answer.body as QueryAnswer;
+        if (outcome !== "complete") {
+          faults.push(`${outcome} ${message} ${JSON.stringify(answer.body).slice(0, 300)}`);
+        }
+      } catch (error) {
+        faults.push(String(error));
+      }
+      await pause(10);
+    }
+  }
+  const callers = ["a", "b", "c", "d"].map(caller);
+  for (const { box, entry, pool } of [...fleet.boxes]) {
+    entry.signal("SIGTERM");
+    pool.signal("SIGTERM");
+    entry.signal("SIGTERM");
+    t.same(await Promise.all([entry.ended, pool.ended]), [0, 0], `${box} ended by itself`);
+    await fleet.addBox(box, "here");
+    await fleet.ready();
+  }
+  isOver = true;
+  await Promise.all(callers);
+  t.same(faults, []);
+  t.ok(asked > 50, `${asked} queries`);
+});
+
+t.test("a box that starts in an outage takes its configuration from its peers", async (t) => {
+  const fleet = await startFleet(2);
+  t.teardown(() => fleet.stop());
+  const { config } = await fleet.addService(SHAPE);
+  await fleet.setPlatformFaults({ mode: "silent" });
+  const added = await fleet.addBox("box-3", "here");
+  await until(async () => {
+    const answer = await postJson(`${urlOf(added.entry)}/v1/services/settle-desk/query`, {
+      caller: "a",
+      deadlineMs: 1_000,
+    });
+    return (answer.body as QueryAnswer).outcome === "complete";
+  }, "the new box answers");
+
+  await t.test("and keeps it when the platform comes back with an older version", async (t) => {
+    await fleet.setPlatformFaults({ mode: "up" });
+    const url = `${urlOf(fleet.boxes[0]?.entry)}/v1/services/settle-desk`;
+    t.equal((await putJson(url, { ...config, policies: { retry: "2" } })).statusCode, 200);
+    await fleet.inForce("service/settle-desk", 2);
+    await fleet.setPlatformFaults({ staleVersions: 1 });
+    await pause(3_000);
+    const status = (await getJson(`${urlOf(added.entry)}/v1/status`)) as {
+      daemons: ReadonlyArray<{ report: { revisions: Record<string, number> } }>;
+    };
+    for (const { report } of status.daemons) {
+      t.equal(report.revisions["service/settle-desk"], 2);
+    }
+  });
+});
--- a/entry/entry_shell.ts
+++ b/entry/entry_shell.ts
@@ -3,8 +3,7 @@
  *
  * @module
  */
-import type { IncomingMessage, Server, ServerResponse } from "node:http";
-import { request as httpRequest } from "undici";
+import type { Server } from "node:http";
 import {
   type ControlShell,
   type CoreRunner,
@@ -21,16 +20,12 @@
   telemetryOptions,
 } from "../daemon/mod.js";
 import { lifecyclePhase } from "../lifecycle/mod.js";
-import {
-  ANSWER_MARGIN_MS,
-  MAX_BODY_BYTES,
-  parseQueryRequest,
-  type QueryAnswer,
-} from "../model/mod.js";
+import { MAX_BODY_BYTES, parseQueryRequest, type QueryAnswer } from "../model/mod.js";
 import { listenForPeers, PEER_ANSWER_MS } from "../peer/mod.js";
 import { platformClient } from "../platform/mod.js";
 import type { SettingSpecs, Settings } from "../settings/mod.js";
 import { startTelemetry } from "../telemetry/mod.js";
+import { forwardQuery, isForwarded, type WaitingCaller } from "./_forwarding.js";
 import { unknownOutcome } from "./answers.js";
 import { advisedEntries, entryLogic } from "./entry_core.js";
 import type { EntryEffect, EntryEvent, EntryTimer } from "./entry_messages.js";
@@ -52,9 +47,6 @@
 /** Settings of an entry daemon as read. */
 export type EntrySettings = Settings<typeof ENTRY_SPECS>;
 
-/** Header that marks a query which another entry passed on. */
-const FORWARDED_HEADER = "rackvale-forwarded";
-
 /** Time that others have to hear of the end before the process is gone, in milliseconds. */
 const END_MS = 100;
 
@@ -66,11 +58,6 @@
   stop(): void;
 }
 
-interface WaitingCaller {
-  readonly response: ServerResponse;
-  readonly body: unknown;
-}
-
 /**
  * Starts an entry daemon.
  *
@@ -219,23 +206,13 @@
 
   async function forward({ queryId, member }: Extract<EntryEffect, { readonly kind: "forward" }>) {
     const caller = callers.get(queryId);
-    const { service = "", deadlineMs = 0 } = forwardFields(caller);
+    if (caller === undefined) {
+      return;
+    }
     try {
-      const host = member.address.includes(":") ? `[${member.address}]` : member.address;
-      const answer = await httpRequest(
-        `http://${host}:${member.callerPort}/v1/services/${service}/query`,
-        {
-          method: "POST",
-          headers: { "content-type": "application/json", [FORWARDED_HEADER]: "true" },
-          body: JSON.stringify(caller?.body),
-          signal: AbortSignal.timeout(Math.max(1, deadlineMs - ANSWER_MARGIN_MS)),
-        },
-      );
-      const body = (await answer.body.json()) as object;
+      const { statusCode, body } = await forwardQuery(caller, member);
       callers.delete(queryId);
-      if (caller !== undefined) {
-        writeJson(caller.response, body, { statusCode: answer.statusCode, headers: closing() });
-      }
+      writeJson(caller.response, body, { statusCode, headers: closing() });
     } catch {
       const message = "Cannot tell whether the query ran: the entry that gave the ticket is silent";
       giveAnswer(queryId, unknownOutcome(state(), nowMs(), message));
@@ -298,19 +275,6 @@
   };
 }
 
-function isForwarded(request: IncomingMessage): boolean {
-  return request.headers[FORWARDED_HEADER] === "true";
-}
-
-function forwardFields(caller: WaitingCaller | undefined): {
-  readonly service?: string;
-  readonly deadlineMs?: number;
-} {
-  const body = (caller?.body ?? {}) as { readonly deadlineMs?: number };
-  const service = caller?.response.req.url?.split("/")[3];
-  return service === undefined ? {} : { service, deadlineMs: body.deadlineMs ?? 0 };
-}
-
 function retryAfter({ statusCode, retryAfterMs }: QueryAnswer): Readonly<Record<string, string>> {
   return statusCode >= 400 && retryAfterMs > 0
     ? { "retry-after": String(Math.ceil(retryAfterMs / 1000)) }
--- a/entry/operator_api.ts
+++ b/entry/operator_api.ts
@@ -9,19 +9,11 @@
 import { objectKey, type SubmitOutcome, submitObject } from "../catalog/mod.js";
 import type { ControlState } from "../control/mod.js";
 import type { ControlShell } from "../daemon/mod.js";
-import {
-  type CatalogObject,
-  MAX_BODY_BYTES,
-  type Member,
-  type ObjectKind,
-  parseServiceConfig,
-  parseShardMap,
-  type ServiceConfig,
-  type ShardMap,
-} from "../model/mod.js";
+import { type CatalogObject, MAX_BODY_BYTES, type Member } from "../model/mod.js";
 import { PEER_ANSWER_MS } from "../peer/mod.js";
 import type { PlatformPort } from "../platform/mod.js";
 import { compilePolicies, evaluatePolicies, SAMPLE_INPUT } from "../policy/mod.js";
+import { checkValue } from "./_check_value.js";
 import type { ApiHandlers, ApiRequest } from "./http_api.js";
 import { type HttpFault, httpFault, readJson, writeFault, writeJson } from "./http_io.js";
 
@@ -132,66 +124,6 @@
     : err(httpFault(400, `Cannot accept base "${text}": expected a whole number`, "base"));
 }
 
-interface NamedValue {
-  readonly name: string;
-  readonly data: unknown;
-}
-
-function checkValue(
-  state: ControlState,
-  kind: ObjectKind,
-  { name, data }: NamedValue,
-): Result<unknown, HttpFault> {
-  return VALUE_CHECKS[kind](data, state).andThen((value) =>
-    value.service === name
-      ? ok(value)
-      : err(httpFault(400, `Cannot accept the body: it is for "${value.service}"`, "service")),
-  );
-}
-
-type ValueCheck = (
-  data: unknown,
-  state: ControlState,
-) => Result<{ readonly service: string }, HttpFault>;
-
-const VALUE_CHECKS: Readonly<Record<ObjectKind, ValueCheck>> = {
-  service: (data) => checkService(data),
-  shardmap: (data, state) => checkShardMap(data, state),
-  boxlist: () => err(httpFault(405, "Cannot write the box list: it is the platform's")),
-};
-
-function checkService(data: unknown): Result<ServiceConfig, HttpFault> {
-  return parseServiceConfig(data)
-    .mapErr(({ message, field }) => httpFault(400, message, field))
-    .andThen((config) =>
-      compilePolicies(config.policies)
-        .map(() => config)
-        .mapErr(({ policy, line, column, message }) =>
-          httpFault(400, `${message} (line ${line}, column ${column})`, `policies.${policy}`),
-        ),
-    );
-}
-
-function checkShardMap(data: unknown, { catalog }: ControlState): Result<ShardMap, HttpFault> {
-  return parseShardMap(data)
-    .mapErr(({ message, field }) => httpFault(400, message, field))
-    .andThen((shardMap) => {
-      const leafs = catalog.services.get(shardMap.service)?.leafs;
-      const unknown = shardMap.snapshots
-        .flatMap((each) => each.shards.flatMap((shard) => shard.leafIds))
-        .find((leafId) => leafs !== undefined && !leafs.has(leafId));
-      return unknown === undefined
-        ? ok(shardMap)
-        : err(
-            httpFault(
-              400,
-              `Cannot accept the shard map: service "${shardMap.service}" has no leaf "${unknown}"`,
-              "snapshots",
-            ),
-          );
-    });
-}
-
 function submitAnswer(outcome: SubmitOutcome) {
   switch (outcome.kind) {
     case "accepted": {
