--- a/fault_soak/promises.ts
+++ b/fault_soak/promises.ts
@@ -5,7 +5,13 @@
  * @module
  */
 
-import { type CallerResponse, serviceRecords } from "../platform/standin/mod.js";
+import {
+  type CallerResponse,
+  type SeenSignature,
+  seenParts,
+  seenSignature,
+  serviceRecords,
+} from "../platform/standin/mod.js";
 import { mergeRecords } from "../request/mod.js";
 import { LEDGER, RECORDS, SHARDS, type SoakBox, type SoakFleet } from "./soak_fleet.js";
 
@@ -92,38 +98,37 @@
     }
   }
 
-  #judgeSweep(requestId: string, { headers, body }: CallerResponse): void {
-    const signatures = String(headers["x-part-stamps"] ?? "").split(", ");
+  #judgeSweep(requestId: string, response: CallerResponse): void {
+    const { signatures, missingParts } = seenParts(response);
     const services = signatures.map((signature) => this.#serviceOf(signature, requestId));
-    const missing = Number(headers["x-missing-parts"] ?? 0);
     this.#check(
       "an answer names parts of this request, each shard once",
       new Set(services).size === services.length && !services.includes(undefined),
-      () => `${requestId} has ${signatures.join()}`,
+      () => `${requestId} has ${JSON.stringify(signatures)}`,
     );
     this.#check(
       "an answer says truly how many parts it lacks",
-      signatures.length + missing === SHARDS.length,
-      () => `${requestId} has ${signatures.length} parts and lacks ${missing}`,
+      signatures.length + missingParts === SHARDS.length,
+      () => `${requestId} has ${signatures.length} parts and lacks ${missingParts}`,
     );
     const parts = services.map((service) => serviceRecords(service ?? "", RECORDS.perLeaf));
     this.#check(
       "an answer holds the greatest records of its parts",
-      mergeRecords(parts, { topRecords: RECORDS.top }).equals(body),
+      mergeRecords(parts, { topRecords: RECORDS.top }).equals(response.body),
       () => requestId,
     );
   }
 
-  #judgeSingle(requestId: string, { headers, body }: CallerResponse): void {
-    const service = this.#serviceOf(String(headers["x-response-stamp"]), requestId);
-    const isOwn = service === LEDGER && body.equals(serviceRecords(LEDGER, RECORDS.perLeaf));
-    this.#check("an answer is the leaf's own, whole", isOwn, () => requestId);
+  #judgeSingle(requestId: string, response: CallerResponse): void {
+    const service = this.#serviceOf(seenSignature(response), requestId);
+    const isOwn = response.body.equals(serviceRecords(LEDGER, RECORDS.perLeaf));
+    const isWhole = service === LEDGER && isOwn;
+    this.#check("an answer is the leaf's own, whole", isWhole, () => requestId);
   }
 
-  #serviceOf(signature: string, requestId: string): string | undefined {
-    const [leafId, signedId] = signature.split(".");
-    const found = this.#soak.allLeafs.find(({ leaf }) => leaf.leafId === leafId);
-    return signedId === requestId ? found?.service : undefined;
+  #serviceOf(signature: SeenSignature, requestId: string): string | undefined {
+    const found = this.#soak.allLeafs.find(({ leaf }) => leaf.leafId === signature.leafId);
+    return signature.requestId === requestId ? found?.service : undefined;
   }
 
   #judgeVersion({ box, life, path, requestId }: SeenRequest, statusCode: number): void {
--- a/fault_soak/soak_fleet.ts
+++ b/fault_soak/soak_fleet.ts
@@ -6,8 +6,10 @@
  */
 import {
   BoxFleet,
+  type OperatorConfiguration,
   type PlatformBox,
   type RecordLeafStandin,
+  standinConfiguration,
   type ZoneName,
 } from "../platform/standin/mod.js";
 import { LinkProxy } from "./link_proxy.js";
@@ -24,6 +26,9 @@
 /** Records of each leaf's answer, and those that a gathered answer holds. */
 export const RECORDS = { perLeaf: 8, top: 5 } as const;
 
+/** Share of the shards without which a gathered answer is no success. */
+const LEAST_SHARE = 0.5;
+
 const LEAF_ZONES: ReadonlyArray<ZoneName> = ["hall-a", "hall-b"];
 const BOX_ZONES: ReadonlyArray<ZoneName> = ["hall-a", "hall-a", "hall-b", "hall-b"];
 
@@ -138,29 +143,20 @@
   }
 }
 
-function configuration(version: number) {
-  const plain = { host: HOST, timeoutMs: 2_000, targetLatencyMs: 300, priority: 1 };
-  const single = { ...plain, service: LEDGER, maxAttempts: 2 };
-  const gather = { gather: SHARDS, topK: RECORDS.top, minShardShare: 0.5, maxAttempts: 2 };
+function configuration(version: number): OperatorConfiguration {
+  const single = { host: HOST, service: LEDGER };
+  const gather = { shards: SHARDS, topRecords: RECORDS.top, leastShare: LEAST_SHARE };
   const added = Array.from({ length: version }, (_, index) => {
     const name = `version-${index + 1}`;
-    return { ...single, name, pathPrefix: `/${name}/`, type: "safe" };
+    return { ...single, name, prefix: `/${name}/`, repeatable: true };
   });
-  return {
+  return standinConfiguration({
     version,
     routes: [
-      { ...plain, ...gather, name: "sweep", pathPrefix: "/sweep/", type: "safe" },
-      { ...single, name: LEDGER, pathPrefix: `/${LEDGER}/`, type: "unsafe" },
+      { host: HOST, name: "sweep", prefix: "/sweep/", repeatable: true, gather },
+      { ...single, name: LEDGER, prefix: `/${LEDGER}/`, repeatable: false },
       ...added,
     ],
-    services: [...SHARDS, LEDGER].map((name) => {
-      return { name, healthCheckPath: "/healthz", maxConnections: 20 };
-    }),
-    limits: {
-      maxHeaderBytes: 16_384,
-      maxBodyBytes: 65_536,
-      headerTimeoutMs: 3_000,
-      idleTimeoutMs: 15_000,
-    },
-  };
+    services: [...SHARDS, LEDGER],
+  });
 }
