Cut no connection by a reset that is being ended: the fault soak's process span at its end

A reset of a socket whose end has just begun is refused by libuv (EINVAL) and its handle never let go (reproduced in 20 lines: exit 124 with resetAndDestroy, 0 with destroy). Ruled out: the boxes (all had ended), the callers' loops (the test's code had ended). Change: the proxy destroys such a connection. link_proxy_test: red before (one handle left), green after. Only the soak's own proxy was concerned; the box's bundle is unchanged.

--- a/fault_soak/link_proxy.ts
+++ b/fault_soak/link_proxy.ts
@@ -66,7 +66,7 @@
   /** Resets all connections. */
   reset(): void {
     for (const socket of this.#sockets) {
-      socket.resetAndDestroy();
+      cutConnection(socket);
     }
   }
 
@@ -90,7 +90,7 @@
     };
     from.on("data", (data: Buffer) => inOrder(() => !to.destroyed && to.write(data)));
     from.on("end", () => inOrder(() => to.end()));
-    from.on("error", () => to.resetAndDestroy());
+    from.on("error", () => cutConnection(to));
     from.on("close", () => this.#sockets.delete(from));
   }
 
@@ -105,6 +105,20 @@
   }
 }
 
+/**
+ * Resets a connection. One that is being ended is closed without a reset: libuv refuses that, and Node
+ * then never lets go of its handle, so that the process spins for ever when it ends.
+ *
+ * @param socket - The connection.
+ */
+export function cutConnection(socket: Socket): void {
+  if (socket.writableEnded) {
+    socket.destroy();
+  } else {
+    socket.resetAndDestroy();
+  }
+}
+
 function pauseMs(delayMs: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, delayMs));
 }
