Refuse a query at once where the leafs' queues would make it late

Change: a box works out from the load that leafs tell how long a call waits there; boxes that merge for others tell the wait near them with their first frame; it counts in the choice of a leaf. Where three tenths of the shards would wait longer than a fifth of the aim (less for less urgent routes over the same shards) the query is refused as not run, with when to come back. No hedge to a leaf with such a queue, boxes decline second calls to full leafs too, and calls that wait for a connection are withdrawn when their request has been answered.

--- a/box/_run_orders.ts
+++ b/box/_run_orders.ts
@@ -141,7 +141,7 @@
     const member = this.#options.chosenBox(box);
     if (member === undefined) {
       queueMicrotask(() => listener.onEnd());
-      return { abandon: () => undefined };
+      return { abandon: () => undefined, withdraw: () => undefined };
     }
     return this.#options.relays.send(member, order, listener);
   }
--- a/box/_run_world.ts
+++ b/box/_run_world.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { type ChoiceView, chooseLeaf, type Placement } from "../leafs/mod.js";
+import { type ChoiceView, chooseLeaf, type Leaf, type Placement } from "../leafs/mod.js";
 import type { ExtraCallKind } from "../limits/mod.js";
 import type { Member } from "../model/mod.js";
 import type { BoxChoice, LeafChoice, RequestWorld } from "../request/mod.js";
@@ -18,6 +18,9 @@
   readonly #chosenBoxes = new Map<string, Member>();
   readonly #condition: ChoiceView["condition"];
   readonly #distance: ChoiceView["distance"];
+  readonly #toldQueueMs: (leaf: Leaf) => number;
+  /** Waits at the leafs of each place as told when this request first asked. */
+  readonly #queuesMs = new Map<string, number>();
 
   /**
    * @param box - What the runner has of its box.
@@ -28,6 +31,7 @@
     this.#placement = placement;
     this.#condition = (leafId) => box.calls.condition(leafId);
     this.#distance = (leaf) => box.places.distance(leaf);
+    this.#toldQueueMs = (leaf) => this.#queueAt(box.places.placeOf(leaf));
   }
 
   /**
@@ -47,13 +51,15 @@
       condition: this.#condition,
       distance: this.#distance,
       excluded,
+      toldQueueMs: this.#toldQueueMs,
       placement: this.#placement,
     });
     if (chosen === undefined) {
       return undefined;
     }
-    const { leaf, usualMs } = chosen;
-    return { leafId: leaf.leafId, expectedMs: usualMs, relayPlace: places.placeOf(leaf) };
+    const { leaf, queueMs, usualMs } = chosen;
+    const relayPlace = places.placeOf(leaf);
+    return { leafId: leaf.leafId, expectedMs: usualMs, relayPlace, queueMs };
   }
 
   chooseBox(relayPlace: string): BoxChoice | undefined {
@@ -67,6 +73,16 @@
     return { box: member.memberId, expectedMs: usualMs };
   }
 
+  #queueAt(place: string | undefined): number {
+    if (place === undefined) {
+      return 0;
+    }
+    const { places, relays } = this.#box;
+    const queueMs = this.#queuesMs.get(place) ?? relays.queueMs(places.boxesAt(place));
+    this.#queuesMs.set(place, queueMs);
+    return queueMs;
+  }
+
   takeExtraCall(service: string, kind: ExtraCallKind): boolean {
     return this.#box.takeExtraCall(service, kind);
   }
--- a/box/request_intake.ts
+++ b/box/request_intake.ts
@@ -73,7 +73,8 @@
       return () => undefined;
     }
     const admission = this.#admit(arrived, route);
-    const terms = requestTerms(arrived, route, admission);
+    const mostQueueMs = routes.queueAllowancesMs.get(route.name) ?? Number.POSITIVE_INFINITY;
+    const terms = requestTerms(arrived, route, { ...admission, mostQueueMs });
     if (admission.refusal !== "") {
       const { refusal, retryAfterMs } = admission;
       this.#options.telemetry.requests.inc({ route: route.name, outcome: "refused" });
--- a/box/request_runner.ts
+++ b/box/request_runner.ts
@@ -190,6 +190,7 @@
     relay: (effect) => this.#orders.relay(effect),
     askThrough: (effect) => this.#orders.askThrough(effect),
     abandon: ({ attemptId }) => this.#openCalls.get(attemptId)?.abandon(),
+    withdraw: ({ attemptId }) => this.#openCalls.get(attemptId)?.withdraw(),
     wake: ({ timer, atMs }) => {
       const delayMs = Math.max(0, atMs - this.#box.nowMs());
       clearTimeout(this.#timers.get(timer));
--- a/box/request_terms.ts
+++ b/box/request_terms.ts
@@ -17,18 +17,24 @@
  */
 const OPENING_MARGIN_MS = 20;
 
+/** What policy and the configuration have decided of a request. */
+export interface DecidedTerms extends Pick<Admission, "maxAttempts" | "finishShare"> {
+  /** Longest time that its calls may be expected to wait at leafs, in milliseconds. */
+  readonly mostQueueMs: number;
+}
+
 /**
  * Works out a request's terms.
  *
  * @param arrived - The request as it came in.
  * @param route - Its route.
- * @param admission - What policy decided.
+ * @param decided - What policy and the configuration have decided.
  * @returns The terms; the final answer is due before the earlier of caller's deadline and timeout.
  */
 export function requestTerms(
   { arrivedAtMs, opensConnection, terms }: ArrivedRequest,
   route: Route,
-  { maxAttempts, finishShare }: Pick<Admission, "maxAttempts" | "finishShare">,
+  { maxAttempts, finishShare, mostQueueMs }: DecidedTerms,
 ): RequestTerms {
   const marginMs = ANSWER_MARGIN_MS + (opensConnection ? OPENING_MARGIN_MS : 0);
   const waitMs = Math.min(terms.waitMs ?? route.timeoutMs, route.timeoutMs);
@@ -40,6 +46,7 @@
     deadlineAtMs: arrivedAtMs + Math.max(1, waitMs - marginMs),
     aimAtMs: arrivedAtMs + Math.max(1, aimMs - marginMs),
     maxAttempts,
+    mostQueueMs,
     finishShare,
   };
 }
--- a/box/request_terms_test.ts
+++ b/box/request_terms_test.ts
@@ -15,7 +15,7 @@
   target: { kind: "single", services: [{ service: "s", weight: 1 }] },
 };
 
-const ADMISSION = { maxAttempts: 2, finishShare: 1 };
+const ADMISSION = { maxAttempts: 2, finishShare: 1, mostQueueMs: 100 };
 
 function arrived(waitMs: number | undefined, opensConnection = false): ArrivedRequest {
   return {
--- a/calls/leaf_calls.ts
+++ b/calls/leaf_calls.ts
@@ -40,6 +40,8 @@
 export interface OpenCall {
   /** Breaks the call off; its connection is closed with it. */
   abandon(): void;
+  /** Takes the call back if nothing of it has been sent; else lets it run. */
+  withdraw(): void;
 }
 
 /** What the calls need. */
@@ -109,6 +111,7 @@
         nowMs: this.#options.nowMs(),
         result: resultOf(outcome),
         toldLoad,
+        slots: call.leaf.slots,
       };
       this.#conditions.set(leafId, noteEnded(this.#conditionOf(leafId), end));
       this.#options.onEnd(end.result);
@@ -117,7 +120,7 @@
     const abandon = (): void => handler.abandon();
     this.#open.set(callId, { deadlineAtMs: call.deadlineAtMs, abandon });
     this.#lineTo(call.leaf).send(handler);
-    return { abandon };
+    return { abandon, withdraw: () => handler.withdraw() };
   }
 
   /**
@@ -254,6 +257,12 @@
     this.#controller?.abort(new Error(ABANDONED));
   }
 
+  withdraw(): void {
+    if (!this.#sent) {
+      this.#fail(ABANDONED);
+    }
+  }
+
   onRequestStart(controller: Dispatcher.DispatchController): void {
     this.#controller = controller;
     if (this.#ended) {
--- a/calls/leaf_calls_test.ts
+++ b/calls/leaf_calls_test.ts
@@ -4,7 +4,7 @@
 import type { Leaf } from "../leafs/mod.js";
 import { LEAF_HEADERS } from "../platform/mod.js";
 import type { AttemptOutcome } from "../request/mod.js";
-import { LeafCalls } from "./leaf_calls.js";
+import { type LeafCall, LeafCalls } from "./leaf_calls.js";
 
 const LOOPBACK = "127.0.0.1";
 
@@ -40,28 +40,35 @@
   readonly repeatable?: boolean;
 }
 
-function call(
-  calls: LeafCalls,
+function leafCall(
   port: number,
   { requestId = "r1", leftMs = 1_000, repeatable = true }: CallOptions = {},
-): Promise<AttemptOutcome> {
+): LeafCall {
+  return {
+    leaf: leafAt(port),
+    requestId,
+    method: "GET",
+    path: "/x",
+    headers: ["Host", "h", LEAF_HEADERS.requestId, requestId],
+    body: undefined,
+    repeatable,
+    deadlineAtMs: performance.now() + leftMs,
+  };
+}
+
+function call(calls: LeafCalls, port: number, options: CallOptions = {}): Promise<AttemptOutcome> {
   return new Promise((resolve) => {
-    calls.send(
-      {
-        leaf: leafAt(port),
-        requestId,
-        method: "GET",
-        path: "/x",
-        headers: ["Host", "h", LEAF_HEADERS.requestId, requestId],
-        body: undefined,
-        repeatable,
-        deadlineAtMs: performance.now() + leftMs,
-      },
-      resolve,
-    );
+    calls.send(leafCall(port, options), resolve);
   });
 }
 
+/** Waits for a state that the loop is to bring about. */
+async function until(isSo: () => boolean): Promise<void> {
+  while (!isSo()) {
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+}
+
 t.test("send() gives the leaf's whole answer and keeps the connection", async (t) => {
   let connections = 0;
   const server = createServer((request, response) => {
@@ -203,3 +210,37 @@
   t.match(await call(calls, portOf(server), { repeatable: false }), { kind: "answered" });
   t.equal(connections, 2, "the other one takes a new connection, within the share");
 });
+
+t.test("withdraw() takes back a call that waits for a connection, and no other", async (t) => {
+  const asked: Array<string> = [];
+  const open: Array<() => void> = [];
+  const server = createServer((request, response) => {
+    const requestId = String(request.headers[LEAF_HEADERS.requestId]);
+    asked.push(requestId);
+    open.push(() => {
+      response.setHeader(LEAF_HEADERS.requestId, requestId);
+      response.setHeader(LEAF_HEADERS.signature, "stamp");
+      response.end("x");
+    });
+  });
+  await new Promise<void>((resolve) => server.listen(0, LOOPBACK, resolve));
+  t.teardown(() => server.close());
+  t.teardown(() => server.closeAllConnections());
+  const calls = makeCalls(1);
+  const ends: Array<string> = [];
+  const sent = ["r1", "r2", "r3"].map((requestId) => {
+    return calls.send(leafCall(portOf(server), { requestId }), ({ kind }) => {
+      ends.push(`${requestId} ${kind}`);
+    });
+  });
+  await until(() => asked.length === 1);
+  sent[0]?.withdraw();
+  sent[1]?.withdraw();
+  t.same(ends, ["r2 failed"], "the one that waited has ended at once");
+  open[0]?.();
+  await until(() => asked.length === 2);
+  t.same(asked, ["r1", "r3"], "it never reached the leaf");
+  open[1]?.();
+  await until(() => ends.length === 3);
+  t.same(ends.slice(1), ["r1 answered", "r3 answered"]);
+});
--- a/leafs/choose_leaf.ts
+++ b/leafs/choose_leaf.ts
@@ -16,6 +16,8 @@
   condition(leafId: string): LeafCondition | undefined;
   /** Tells how far a leaf is. */
   distance(leaf: Leaf): Distance;
+  /** Tells how long calls wait at leafs where this one is, if boxes there tell it, in milliseconds. */
+  readonly toldQueueMs?: (leaf: Leaf) => number;
   /** How the service's policy places calls; least loaded by default. */
   readonly placement?: Placement;
   /** Leafs that were asked already. */
@@ -42,6 +44,9 @@
 /** Expected time of a leaf that has not been asked, in milliseconds. */
 const UNKNOWN_MS: Readonly<Record<Distance, number>> = { zone: 15, region: 17, far: 45 };
 
+/** Calls open at a leaf, as a multiple of its slots, at which other boxes had better turn elsewhere. */
+const FULL_FACTOR = 2;
+
 /** Age at which a load that a leaf told counts for nothing, in milliseconds. */
 const TOLD_LOAD_MS = 300;
 
@@ -66,6 +71,8 @@
   readonly distance: Distance;
   /** Time in which it usually answers, in milliseconds. */
   readonly usualMs: number;
+  /** Time that a call would wait there before it is run, by the load that is known, in milliseconds. */
+  readonly queueMs: number;
 }
 
 /**
@@ -85,9 +92,11 @@
     }
     const distance = view.distance(leaf);
     const usualMs = condition.meanMs === 0 ? UNKNOWN_MS[distance] : condition.meanMs;
-    const expectedMs = expectedTimeMs({ leaf, distance, usualMs }, condition, view);
+    const toldMs = view.toldQueueMs?.(leaf) ?? 0;
+    const expectedMs = expectedTimeMs({ leaf, distance, usualMs }, condition, view) + toldMs;
     if (expectedMs < bestMs) {
-      best = { leaf, distance, usualMs };
+      const seenMs = queueMs(leaf, condition, view.nowMs);
+      best = { leaf, distance, usualMs, queueMs: Math.max(toldMs, seenMs) };
       bestMs = expectedMs;
     }
   }
@@ -95,13 +104,12 @@
 }
 
 function expectedTimeMs(
-  { leaf, distance, usualMs }: ChosenLeaf,
+  { leaf, distance, usualMs }: Pick<ChosenLeaf, "leaf" | "distance" | "usualMs">,
   condition: LeafCondition,
   { nowMs, placement = "least-loaded" }: ChoiceView,
 ): number {
   const warmMs = leaf.warmingForMs > 0 ? usualMs * WARMUP_FACTOR : usualMs;
-  const toldShare = Math.max(0, 1 - (nowMs - condition.toldAtMs) / TOLD_LOAD_MS);
-  const load = Math.max(condition.openCalls.length, condition.toldLoad * toldShare);
+  const load = loadOf(condition, nowMs);
   const queuedMs = warmMs * Math.max(1, (load + 1) / leaf.slots);
   const silentMs = isSilent(condition, nowMs) ? SILENT_COST_MS : 0;
   const avoidMs = condition.avoidUntilMs > nowMs ? AVOID_COST_MS : 0;
@@ -109,6 +117,28 @@
   return queuedMs + distanceMs + silentMs + avoidMs;
 }
 
+/** Calls at a leaf: those of this box, or what it told, which counts for less the older it is. */
+function loadOf({ openCalls, toldAtMs, toldLoad }: LeafCondition, nowMs: number): number {
+  const toldShare = Math.max(0, 1 - (nowMs - toldAtMs) / TOLD_LOAD_MS);
+  return Math.max(openCalls.length, toldLoad * toldShare);
+}
+
+function queueMs({ slots }: Leaf, condition: LeafCondition, nowMs: number): number {
+  const ahead = Math.max(0, loadOf(condition, nowMs) + 1 - slots);
+  return (ahead / slots) * condition.workMs;
+}
+
+/**
+ * Tells whether this box has so many calls open at a leaf that it had better not take others' calls to it.
+ *
+ * @param condition - What was seen of the leaf.
+ * @param leaf - Its slots.
+ * @returns Whether it is full.
+ */
+export function isFull({ openCalls }: LeafCondition, { slots }: Pick<Leaf, "slots">): boolean {
+  return openCalls.length >= slots * FULL_FACTOR;
+}
+
 /**
  * Tells whether a leaf, or a box that is asked like one, is taken to pause.
  *
--- a/leafs/leaf_condition.ts
+++ b/leafs/leaf_condition.ts
@@ -15,6 +15,11 @@
 export interface LeafCondition {
   /** Mean time of an answered call, in milliseconds, the network included; 0 before the first. */
   readonly meanMs: number;
+  /**
+   * Mean time that the leaf itself takes for a call once it runs it, in milliseconds, worked out from
+   * the load that it told; 0 where it has told none.
+   */
+  readonly workMs: number;
   /** Calls of this box that the leaf has not answered yet; few, so a list is the quickest. */
   readonly openCalls: ReadonlyArray<OpenLeafCall>;
   /** Requests running and waiting at the leaf from all boxes, as it last told. */
@@ -32,6 +37,7 @@
 /** A leaf that has not been asked yet. */
 export const NEW_CONDITION: LeafCondition = {
   meanMs: 0,
+  workMs: 0,
   openCalls: [],
   toldLoad: 0,
   toldAtMs: 0,
@@ -67,6 +73,8 @@
   readonly result: "answered" | "failed" | "full" | "gone" | "abandoned";
   /** Load that the leaf told with its answer. */
   readonly toldLoad?: number | undefined;
+  /** Requests that the leaf runs at the same time; needed to make something of its load. */
+  readonly slots?: number;
 }
 
 /**
@@ -81,24 +89,34 @@
   const openCalls = condition.openCalls.filter(({ callId }) => callId !== end.callId);
   const told = end.toldLoad === undefined ? {} : { toldLoad: end.toldLoad, toldAtMs: end.nowMs };
   const ended = { ...condition, openCalls, ...told };
-  return END_HANDLERS[end.result](ended, end.nowMs, sentAtMs ?? end.nowMs);
+  return END_HANDLERS[end.result](ended, end, sentAtMs ?? end.nowMs);
 }
 
-type EndHandler = (condition: LeafCondition, nowMs: number, sentAtMs: number) => LeafCondition;
+/** A call that met a queue took that many turns of the leaf's slots. */
+function noteWork(workMs: number, { toldLoad, slots }: CallEnd, tookMs: number): number {
+  if (toldLoad === undefined || slots === undefined) {
+    return workMs;
+  }
+  const turns = Math.max(1, (toldLoad + 1) / slots);
+  return updateMean(workMs, tookMs / turns);
+}
+
+type EndHandler = (condition: LeafCondition, end: CallEnd, sentAtMs: number) => LeafCondition;
 
 const END_HANDLERS: Readonly<Record<CallEnd["result"], EndHandler>> = {
-  answered: (condition, nowMs, sentAtMs) => ({
+  answered: (condition, end, sentAtMs) => ({
     ...condition,
-    meanMs: updateMean(condition.meanMs, nowMs - sentAtMs),
+    meanMs: updateMean(condition.meanMs, end.nowMs - sentAtMs),
+    workMs: noteWork(condition.workMs, end, end.nowMs - sentAtMs),
     failuresInRow: 0,
     avoidUntilMs: 0,
   }),
-  failed: (condition, nowMs) => {
+  failed: (condition, { nowMs }) => {
     const failuresInRow = condition.failuresInRow + 1;
     const avoidMs = Math.min(MOST_AVOID_MS, AVOID_MS * 2 ** (failuresInRow - 1));
     return { ...condition, failuresInRow, avoidUntilMs: nowMs + avoidMs };
   },
-  full: (condition, nowMs) => ({ ...condition, avoidUntilMs: nowMs + AVOID_MS }),
+  full: (condition, { nowMs }) => ({ ...condition, avoidUntilMs: nowMs + AVOID_MS }),
   gone: (condition) => ({ ...condition, gone: true }),
   abandoned: (condition) => condition,
 };
--- a/relay/_merged_relay.ts
+++ b/relay/_merged_relay.ts
@@ -6,7 +6,7 @@
  */
 import type { ServerResponse } from "node:http";
 import type { OpenCall } from "../calls/mod.js";
-import { chooseLeaf, isSilent, type LeafCondition, NEW_CONDITION } from "../leafs/mod.js";
+import { chooseLeaf, isFull, isSilent, type LeafCondition, NEW_CONDITION } from "../leafs/mod.js";
 import { type AttemptOutcome, mergeRecords, recordFloor } from "../request/mod.js";
 import { encodeRelayed } from "./relay_frames.js";
 import type { MergedOrder } from "./relay_order.js";
@@ -21,9 +21,6 @@
 /** Added to that, in milliseconds, for work that takes longer than the mean. */
 const PATIENCE_MS = 4;
 
-/** Calls open at a leaf, as a multiple of its slots, at which another box had better turn elsewhere. */
-const FULL_FACTOR = 2;
-
 interface NearPart {
   readonly service: string;
   readonly signature: string;
@@ -40,6 +37,8 @@
   #declined: Array<string> = [];
   #openCount = 0;
   #hasFlushed = false;
+  /** Waits at the leafs asked, in milliseconds, until they are told with the first frame. */
+  #queuesMs: Array<number> = [];
   /** The greatest of the records handed over so far. */
   #handedOver: Buffer = Buffer.alloc(0);
   #timer: NodeJS.Timeout | undefined;
@@ -89,6 +88,7 @@
       this.#declined.push(service);
       return 0;
     }
+    this.#queuesMs.push(chosen.queueMs);
     const { requestId, method, path, headers, leftMs } = this.#order;
     const call = { requestId, method, path, headers, body: undefined, repeatable: true };
     this.#openCount += 1;
@@ -141,7 +141,15 @@
     this.#declined = [];
     const signatures = new Map(parts.map(({ service, signature }) => [service, signature]));
     const records = this.#newRecords(parts.map(({ body }) => body));
-    this.#response.write(encodeRelayed({ signatures, records, declined }));
+    const queueMs = this.#takeQueue();
+    this.#response.write(encodeRelayed({ signatures, records, declined, queueMs }));
+  }
+
+  /** The middle one of the waits; nothing more once it has been told. */
+  #takeQueue(): number {
+    const queues = this.#queuesMs.sort((a, b) => a - b);
+    this.#queuesMs = [];
+    return Math.round(queues[Math.floor(queues.length / 2)] ?? 0);
   }
 
   /** Those of the greatest records that have not been handed over: a straggler adds but a few. */
@@ -175,6 +183,7 @@
   condition: LeafCondition,
   { slots, nowMs }: { readonly slots: number; readonly nowMs: number },
 ): boolean {
-  const isFull = condition.openCalls.length >= slots * FULL_FACTOR;
-  return !isFull && condition.avoidUntilMs <= nowMs && !isSilent(condition, nowMs);
+  return (
+    !isFull(condition, { slots }) && condition.avoidUntilMs <= nowMs && !isSilent(condition, nowMs)
+  );
 }
--- a/relay/_separate_relay.ts
+++ b/relay/_separate_relay.ts
@@ -5,6 +5,7 @@
  */
 import type { ServerResponse } from "node:http";
 import type { OpenCall } from "../calls/mod.js";
+import { isFull, NEW_CONDITION } from "../leafs/mod.js";
 import { type AttemptOutcome, mergeRecords } from "../request/mod.js";
 import { encodeRelayed } from "./relay_frames.js";
 import type { SeparateCall, SeparateOrder } from "./relay_order.js";
@@ -40,7 +41,8 @@
   #ask({ service, leafId }: SeparateCall): boolean {
     const { calls, leafs, nowMs } = this.#options;
     const leaf = leafs().byId.get(leafId);
-    if (leaf === undefined || leaf.draining || calls.condition(leafId)?.gone === true) {
+    const condition = calls.condition(leafId) ?? NEW_CONDITION;
+    if (leaf === undefined || leaf.draining || condition.gone || isFull(condition, leaf)) {
       return false;
     }
     const { requestId, method, path, headers, leftMs } = this.#order;
--- a/relay/relay_calls.ts
+++ b/relay/relay_calls.ts
@@ -28,6 +28,9 @@
  */
 const SILENT_MS = 1_000;
 
+/** Age at which a wait that a box told counts no more, in milliseconds. */
+const TOLD_QUEUE_MS = 300;
+
 /** Time after its deadline at which an order is broken off, in milliseconds. */
 const OVERDUE_MS = 100;
 
@@ -45,6 +48,12 @@
   readonly usualMs: number;
 }
 
+/** What a box told of the leafs near it. */
+interface ToldQueue {
+  readonly queueMs: number;
+  readonly atMs: number;
+}
+
 /** An order that has not ended. */
 interface OpenOrder {
   readonly reader: OrderReader;
@@ -61,6 +70,7 @@
   readonly #nowMs: () => number;
   readonly #pools = new Map<string, Pool>();
   readonly #conditions = new Map<string, LeafCondition>();
+  readonly #queues = new Map<string, ToldQueue>();
   readonly #open = new Map<number, OpenOrder>();
   #nextCallId = 1;
 
@@ -95,6 +105,23 @@
     return best;
   }
 
+  /**
+   * Tells how long calls wait at the leafs near some boxes, by what one of them told last.
+   *
+   * @param members - Boxes at one place.
+   * @returns The time in milliseconds; 0 where none of them has told of late.
+   */
+  queueMs(members: ReadonlyArray<Member>): number {
+    let latest: ToldQueue = { queueMs: 0, atMs: this.#nowMs() - TOLD_QUEUE_MS };
+    for (const { memberId } of members) {
+      const told = this.#queues.get(memberId);
+      if (told !== undefined && told.atMs > latest.atMs) {
+        latest = told;
+      }
+    }
+    return latest.queueMs;
+  }
+
   /**
    * Sends an order.
    *
@@ -113,6 +140,9 @@
         const end = { callId, nowMs: this.#nowMs(), result };
         this.#conditions.set(member.memberId, noteEnded(this.#conditionOf(member), end));
       },
+      onQueue: (queueMs) => {
+        this.#queues.set(member.memberId, { queueMs, atMs: this.#nowMs() });
+      },
       onEnded: () => this.#open.delete(callId),
     });
     const origin = originOf(member);
@@ -130,7 +160,8 @@
       },
       reader,
     );
-    return { abandon: () => reader.abandon() };
+    // The box that was asked ends its own calls; an order waits for no connection worth speaking of.
+    return { abandon: () => reader.abandon(), withdraw: () => undefined };
   }
 
   /**
@@ -187,6 +218,8 @@
 interface OrderWatcher {
   /** Told once whether the box answers. */
   onNoted(result: Noted): void;
+  /** Told how long calls wait at the leafs near the box, in milliseconds, when it answers first. */
+  onQueue(queueMs: number): void;
   /** Told once when the order is over. */
   onEnded(): void;
 }
@@ -237,6 +270,9 @@
 
   onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
     for (const parts of this.#frames.read(chunk)) {
+      if (!this.#noted) {
+        this.#watcher.onQueue(parts.queueMs ?? 0);
+      }
       this.#noteOnce("answered");
       this.#listener.onParts(parts);
     }
--- a/relay/relay_frames.ts
+++ b/relay/relay_frames.ts
@@ -6,10 +6,14 @@
  */
 import type { RelayedParts } from "../request/mod.js";
 
-/** What stands before the records: services with signatures by turns, then the services declined. */
+/**
+ * What stands before the records: services with signatures by turns, then the services declined, then
+ * the wait at the leafs in milliseconds; what is empty at the end is left out.
+ */
 type FrameHead = readonly [
   signatures: ReadonlyArray<string>,
   declined?: ReadonlyArray<string> | undefined,
+  queueMs?: number,
 ];
 
 const LENGTH_BYTES = 4;
@@ -23,16 +27,30 @@
  * @param parts - The parts.
  * @returns The frame.
  */
-export function encodeRelayed({ signatures, records, declined }: RelayedParts): Buffer {
-  const named = [...signatures].flat();
-  const parts: FrameHead = declined.length === 0 ? [named] : [named, declined];
-  const head = Buffer.from(JSON.stringify(parts));
+export function encodeRelayed({
+  signatures,
+  records,
+  declined,
+  queueMs = 0,
+}: RelayedParts): Buffer {
+  const head = Buffer.from(JSON.stringify(frameHead([...signatures].flat(), declined, queueMs)));
   const lengths = Buffer.alloc(2 * LENGTH_BYTES);
   lengths.writeUInt32BE(head.length, 0);
   lengths.writeUInt32BE(records.length, LENGTH_BYTES);
   return Buffer.concat([lengths, head, records]);
 }
 
+function frameHead(
+  named: ReadonlyArray<string>,
+  declined: ReadonlyArray<string>,
+  queueMs: number,
+): FrameHead {
+  if (queueMs > 0) {
+    return [named, declined, queueMs];
+  }
+  return declined.length === 0 ? [named] : [named, declined];
+}
+
 /** Puts frames together again from bytes as they come in. */
 export class RelayedReader {
   #waiting: Buffer = Buffer.alloc(0);
@@ -73,8 +91,8 @@
     const head = this.#waiting.subarray(start, start + headBytes).toString("utf8");
     const records = this.#waiting.subarray(start + headBytes, end);
     this.#waiting = this.#waiting.subarray(end);
-    const [named, declined = []] = JSON.parse(head) as FrameHead;
-    return { signatures: signaturesOf(named), records, declined };
+    const [named, declined = [], queueMs = 0] = JSON.parse(head) as FrameHead;
+    return { signatures: signaturesOf(named), records, declined, queueMs };
   }
 }
 
--- a/request/_attempts.ts
+++ b/request/_attempts.ts
@@ -6,11 +6,13 @@
 import { forEachStep, type Step, step } from "../core/mod.js";
 import type { ExtraCallKind } from "../limits/mod.js";
 import { canReachLeastShare } from "./_judge.js";
+import { overloadRetryMs } from "./_overload.js";
 import { planCalls, type RelayCall } from "./_plan.js";
 import { loseShard, openAttempt } from "./_shards.js";
 import type {
   Attempt,
   LeafChoice,
+  Reply,
   RequestEffect,
   RequestState,
   RequestWorld,
@@ -33,7 +35,12 @@
  * @returns The step with the calls.
  */
 export function askFirst(first: AttemptStep, world: RequestWorld): AttemptStep {
-  const { direct, relays, unserved } = planCalls(first.state, world);
+  const plan = planCalls(first.state, world);
+  const retryAfterMs = overloadRetryMs(plan, first.state.terms);
+  if (retryAfterMs !== undefined) {
+    return refuseOverloaded(first, retryAfterMs);
+  }
+  const { direct, relays, unserved } = plan;
   const { nowMs } = world;
   const without = unserved.reduce(loseShard, first.state);
   const { target } = without.terms.route;
@@ -47,6 +54,12 @@
   return forEachStep(called, relays, (now, relay) => sendRelay(now, relay, nowMs));
 }
 
+/** Nothing has been sent, so it is true that the request has not run. */
+function refuseOverloaded({ effects, state }: AttemptStep, retryAfterMs: number): AttemptStep {
+  const reply: Reply = { kind: "notRun", reason: "leafs are overloaded", retryAfterMs };
+  return step({ ...state, done: true }, ...effects, { kind: "reply", reply });
+}
+
 function sendRelay(state: RequestState, { box, calls }: RelayCall, nowMs: number): AttemptStep {
   const attemptId = state.nextAttemptId;
   const { expectedMs } = box;
@@ -91,7 +104,8 @@
     return step(state);
   }
   const leaf = chooseAnother(shard, world);
-  if (leaf === undefined) {
+  const isInVain = kind === "hedge" && leaf !== undefined && leaf.queueMs > terms.mostQueueMs;
+  if (leaf === undefined || isInVain) {
     return step(state);
   }
   if (kind !== "replacement" && !world.takeExtraCall(shard.service, kind)) {
--- a/request/_judge.ts
+++ b/request/_judge.ts
@@ -5,6 +5,7 @@
  */
 import { type Step, step } from "../core/mod.js";
 import type { GatherTarget } from "../routing/mod.js";
+import { openAttemptsOf } from "./_shards.js";
 import { mergeRecords } from "./record_merge.js";
 import type { Reply, RequestEffect, RequestState } from "./request_state.js";
 
@@ -24,6 +25,9 @@
  * @returns The request, with its reply where there is one.
  */
 export function judgeRequest(state: RequestState): JudgedStep {
+  if (state.done) {
+    return step(state);
+  }
   const settled = state.partsIn + state.partsLost === state.shards.length;
   const { target } = state.terms.route;
   const suffices =
@@ -44,9 +48,19 @@
   return finish(state, finalReply(state, { timeIsUp: true }));
 }
 
-/** Calls still open are let run: they end soon, and breaking one off costs its connection. */
+/**
+ * Calls that are still open are let run where they have been sent: they end soon, and breaking one off
+ * costs its connection. Those that still wait for a connection would only keep leafs from other work.
+ */
 function finish(state: RequestState, reply: Reply): JudgedStep {
-  return step({ ...state, done: true }, { kind: "reply", reply });
+  const withdrawals = openAttemptsOf(state).map((attemptId): RequestEffect => {
+    return { kind: "withdraw", attemptId };
+  });
+  return step<RequestState, RequestEffect>(
+    { ...state, done: true },
+    { kind: "reply", reply },
+    ...withdrawals,
+  );
 }
 
 function finalReply(
--- a/request/_shards.ts
+++ b/request/_shards.ts
@@ -28,6 +28,16 @@
   });
 }
 
+/**
+ * Lists the attempts that have not ended.
+ *
+ * @param state - The request.
+ * @returns Each once, also one that is for several shards.
+ */
+export function openAttemptsOf({ shards }: RequestState): ReadonlyArray<number> {
+  return [...new Set(shards.flatMap(({ open }) => open.map(({ attemptId }) => attemptId)))];
+}
+
 /** An attempt that begins. */
 export interface OpenedAttempt {
   readonly shardIndex: number;
--- a/request/request_core.ts
+++ b/request/request_core.ts
@@ -10,7 +10,7 @@
 import { judgeAtDeadline, judgeRequest } from "./_judge.js";
 import { takeOutcome } from "./_outcomes.js";
 import { takeRelayed } from "./_relayed.js";
-import { isSettled, shardsOf } from "./_shards.js";
+import { isSettled, openAttemptsOf, shardsOf } from "./_shards.js";
 import type {
   RequestEffect,
   RequestEvent,
@@ -182,6 +182,5 @@
 }
 
 function abandonAll(state: RequestState): ReadonlyArray<RequestEffect> {
-  const open = new Set(state.shards.flatMap((shard) => shard.open.map((each) => each.attemptId)));
-  return [...open].map((attemptId) => ({ kind: "abandon", attemptId }));
+  return openAttemptsOf(state).map((attemptId) => ({ kind: "abandon", attemptId }));
 }
--- a/request/request_core_test.ts
+++ b/request/request_core_test.ts
@@ -40,6 +40,8 @@
   /** Ends of the leafs' ids that lie in another region; "a" by default. */
   readonly relayedLeafs?: ReadonlyArray<string>;
   readonly finishShare?: number;
+  /** Expected wait at each service's leafs, in milliseconds; none by default. */
+  readonly queueMs?: Readonly<Record<string, number>>;
   /** Services that have no leaf. */
   readonly withoutLeafs?: ReadonlyArray<string>;
 }
@@ -52,6 +54,7 @@
   extraCalls: number;
   readonly relayedLeafs: ReadonlyArray<string>;
   readonly withoutLeafs: ReadonlyArray<string>;
+  readonly queueMs: Readonly<Record<string, number>>;
   leafs: ReadonlyArray<string> = ["a", "b"];
   /** Whether another region has a box to rely on. */
   hasBox = true;
@@ -64,6 +67,7 @@
       finishShare = 1,
     } = options;
     this.withoutLeafs = options.withoutLeafs ?? [];
+    this.queueMs = options.queueMs ?? {};
     this.extraCalls = extraCalls;
     this.relayedLeafs = relayedLeafs;
     const terms = {
@@ -73,6 +77,7 @@
       deadlineAtMs: 1_000,
       aimAtMs: 100,
       maxAttempts: route.maxAttempts,
+      mostQueueMs: 50,
       finishShare,
     };
     const { target } = route;
@@ -89,7 +94,8 @@
         const leafId = leafIds.find((each) => !excluded.has(each));
         const isFar = this.relayedLeafs.some((end) => leafId?.endsWith(`-${end}`));
         const relayPlace = isFar ? "south" : undefined;
-        return leafId === undefined ? undefined : { leafId, expectedMs: 5, relayPlace };
+        const queueMs = this.queueMs[service] ?? 0;
+        return leafId === undefined ? undefined : { leafId, expectedMs: 5, relayPlace, queueMs };
       },
       chooseBox: (region) => {
         return this.hasBox ? { box: `box in ${region}`, expectedMs: 5 } : undefined;
@@ -353,3 +359,49 @@
   const fewer = new Driver(GATHER, { withoutLeafs: ["s2"] });
   t.same(calls(fewer.effects), ["s1-a"], "half of the parts suffice");
 });
+
+t.test("a query is refused at once where most leafs near have too long a queue", async (t) => {
+  const driver = new Driver(GATHER_MANY, { queueMs: { s1: 80, s2: 60, s3: 90 } });
+  const reply = replyOf(driver.effects);
+  t.same(calls(driver.effects), [], "nothing is sent");
+  t.equal(reply?.kind, "notRun");
+  t.ok(
+    reply?.kind === "notRun" && reply.retryAfterMs >= 300,
+    "the caller learns when to come back",
+  );
+});
+
+t.test("a query is sent where only a slow shard has too long a queue", async (t) => {
+  const driver = new Driver(GATHER_MANY, { queueMs: { s1: 500, s2: 40, s3: 40 } });
+  t.equal(calls(driver.effects).length, 4);
+});
+
+t.test("a query is refused for queues at leafs that a box elsewhere would ask", async (t) => {
+  const relayedLeafs = ["a", "b"];
+  const calm = new Driver(GATHER, { queueMs: { s1: 40, s2: 40 }, relayedLeafs });
+  t.equal(replyOf(calm.effects), undefined);
+  const busy = new Driver(GATHER, { queueMs: { s1: 60, s2: 60 }, relayedLeafs });
+  t.equal(replyOf(busy.effects)?.kind, "notRun");
+});
+
+t.test(
+  "a shard is not asked again for time where the other leaf's queue is too long",
+  async (t) => {
+    const driver = new Driver(GATHER_MANY, { queueMs: { s1: 60 } });
+    driver.nowMs = 60;
+    const hedged = calls(driver.take({ kind: "timer", timer: "hedge" }));
+    t.same(hedged, ["s2-b", "s3-b", "s4-b"], "only the shards whose other leaf is free");
+  },
+);
+
+t.test(
+  "an answer withdraws the calls that are still open, as far as nothing was sent",
+  async (t) => {
+    const driver = new Driver(GATHER);
+    driver.end(1, answered(200, "one"));
+    const effects = driver.take({ kind: "timer", timer: "aim" });
+    t.equal(replyOf(effects)?.kind, "merged");
+    const withdrawn = effects.filter(({ kind }) => kind === "withdraw");
+    t.same(withdrawn, [{ kind: "withdraw", attemptId: 2 }]);
+  },
+);
--- a/request/request_state.ts
+++ b/request/request_state.ts
@@ -27,6 +27,8 @@
   readonly records: Buffer;
   /** Services whose near leafs the box did not ask, as they are silent, failing or full. */
   readonly declined: ReadonlyArray<string>;
+  /** Time that calls wait at the leafs near the box, in milliseconds; told with the first parts. */
+  readonly queueMs?: number;
 }
 
 /** How an attempt at a leaf ended. */
@@ -84,6 +86,11 @@
   readonly aimAtMs: number;
   /** Attempts for each shard, as policy and route allow. */
   readonly maxAttempts: number;
+  /**
+   * Longest time that calls may be expected to wait at leafs, in milliseconds; with more the request
+   * could hardly be answered by its aim, and the leafs had better work on others.
+   */
+  readonly mostQueueMs: number;
   /** Share of the parts, 0 to 1, with which the answer is given without waiting for more. */
   readonly finishShare: number;
 }
@@ -165,6 +172,8 @@
       readonly deadlineAtMs: number;
     }
   | { readonly kind: "abandon"; readonly attemptId: number }
+  /** Takes an attempt back if nothing of it has been sent; else lets it run. */
+  | { readonly kind: "withdraw"; readonly attemptId: number }
   | { readonly kind: "wake"; readonly timer: RequestTimer; readonly atMs: number }
   | { readonly kind: "reply"; readonly reply: Reply };
 
@@ -196,6 +205,8 @@
   readonly expectedMs: number;
   /** Where a box near the leaf stands, if it had better be asked through one. */
   readonly relayPlace: string | undefined;
+  /** Time that a call is expected to wait there before it is run, in milliseconds. */
+  readonly queueMs: number;
 }
 
 /** A box that may be asked for the parts of leafs near it. */
--- a/routing/route_table.ts
+++ b/routing/route_table.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Configuration, Route, ServiceTerms } from "./configuration.js";
+import { queueAllowancesMs } from "./queue_allowance.js";
 
 /** A configuration arranged for look-ups. */
 export interface RouteTable {
@@ -11,6 +12,8 @@
   /** Routes of each host, longest prefix first. */
   readonly routesByHost: ReadonlyMap<string, ReadonlyArray<Route>>;
   readonly termsByService: ReadonlyMap<string, ServiceTerms>;
+  /** Longest time that calls may be expected to wait at leafs, in milliseconds, by the route's name. */
+  readonly queueAllowancesMs: ReadonlyMap<string, number>;
 }
 
 /**
@@ -29,7 +32,12 @@
     routes.sort((a, b) => b.prefix.length - a.prefix.length);
   }
   const termsByService = new Map(configuration.services.map((terms) => [terms.service, terms]));
-  return { configuration, routesByHost, termsByService };
+  return {
+    configuration,
+    routesByHost,
+    termsByService,
+    queueAllowancesMs: queueAllowancesMs(configuration.routes),
+  };
 }
 
 /** What of a request decides its route. */
