--- a/bin/rackvale_box.ts
+++ b/bin/rackvale_box.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { Box, boxTelemetry, readPolicies } from "../box/mod.js";
-import { readBoxSettings, SETTINGS_VARIABLE } from "../platform/mod.js";
+import { readBoxSettings, SETTINGS_VARIABLE, watchBoxSettings } from "../platform/mod.js";
 import { settingsOrExit } from "../settings/mod.js";
 
 const USAGE = "Usage: rackvale-box [--metrics-port PORT] [--metrics-path PATH] [--policies FILE]";
@@ -42,15 +42,12 @@
   });
   process.on("SIGTERM", () => box.stop());
   process.on("SIGINT", () => box.stop());
-  process.on("SIGHUP", () => {
-    const changed = readBoxSettings(process.env[SETTINGS_VARIABLE]);
-    if (changed.isErr()) {
-      // The settings in force are kept; those that cannot be read must not end a box that serves.
-      telemetry.event("error", "box: cannot reload", { reason: changed.error.message });
-    } else {
-      box.reload(changed.value);
-    }
+  const watch = watchBoxSettings(process.env[SETTINGS_VARIABLE] ?? "", {
+    onSettings: (changed) => box.reload(changed),
+    // The settings in force are kept; those that cannot be read must not end a box that serves.
+    onFault: ({ message }) => telemetry.event("error", "box: cannot reload", { reason: message }),
   });
+  process.on("SIGHUP", () => watch.look());
   await box.start();
 }
 
--- a/calls/leaf_calls_test.ts
+++ b/calls/leaf_calls_test.ts
@@ -4,10 +4,14 @@
 import type { Leaf } from "../leafs/mod.js";
 import { LEAF_HEADERS } from "../platform/mod.js";
 import type { AttemptOutcome } from "../request/mod.js";
+import { pause, until } from "../standins/waiting.js";
 import { type LeafCall, LeafCalls } from "./leaf_calls.js";
 
 const LOOPBACK = "127.0.0.1";
 
+/** Longer than a connection may be without an answer before others are doubted, in milliseconds. */
+const SILENT_MS = 700;
+
 function leafAt(port: number): Leaf {
   return {
     leafId: "i-1",
@@ -62,13 +66,6 @@
   });
 }
 
-/** Waits for a state that the loop is to bring about. */
-async function until(isSo: () => boolean): Promise<void> {
-  while (!isSo()) {
-    await new Promise((resolve) => setImmediate(resolve));
-  }
-}
-
 t.test("send() gives the leaf's whole answer and keeps the connection", async (t) => {
   let connections = 0;
   const server = createServer((request, response) => {
@@ -233,14 +230,53 @@
       ends.push(`${requestId} ${kind}`);
     });
   });
-  await until(() => asked.length === 1);
+  await until(async () => asked.length === 1, "a call has reached the leaf");
   sent[0]?.withdraw();
   sent[1]?.withdraw();
   t.same(ends, ["r2 failed"], "the one that waited has ended at once");
   open[0]?.();
-  await until(() => asked.length === 2);
+  await until(async () => asked.length === 2, "the next call has reached the leaf");
   t.same(asked, ["r1", "r3"], "it never reached the leaf");
   open[1]?.();
-  await until(() => ends.length === 3);
+  await until(async () => ends.length === 3, "all calls have ended");
   t.same(ends.slice(1), ["r1 answered", "r3 answered"]);
 });
+
+t.test(
+  "a call takes a new connection where those that are open may have gone silent",
+  async (t) => {
+    const silent = new Set<Socket>();
+    const known = new Set<Socket>();
+    let unanswered = 0;
+    const server = createServer((request, response) => {
+      if (silent.has(request.socket)) {
+        unanswered += 1;
+        return;
+      }
+      const requestId = String(request.headers[LEAF_HEADERS.requestId]);
+      // Slow enough that two calls at a time need two connections.
+      setTimeout(() => {
+        response.setHeader(LEAF_HEADERS.requestId, requestId);
+        response.setHeader(LEAF_HEADERS.signature, "stamp");
+        response.end("x");
+      }, 50);
+    });
+    server.on("connection", (socket) => known.add(socket));
+    await new Promise<void>((resolve) => server.listen(0, LOOPBACK, resolve));
+    t.teardown(() => server.close());
+    t.teardown(() => server.closeAllConnections());
+    const calls = makeCalls(3);
+    const port = portOf(server);
+    await Promise.all([call(calls, port), call(calls, port)]);
+    t.equal(known.size, 2, "two connections are kept");
+    for (const socket of known) {
+      silent.add(socket);
+    }
+    const hung = calls.send(leafCall(port, { leftMs: 60_000 }), () => undefined);
+    await until(async () => unanswered === 1, "a call hangs on a silent connection");
+    await pause(SILENT_MS);
+    const outcome = await call(calls, port, { leftMs: 60_000 });
+    t.equal(outcome.kind, "answered", "the next one does not go out on the other");
+    hung.abandon();
+  },
+);
--- a/calls/leaf_connection.ts
+++ b/calls/leaf_connection.ts
@@ -36,6 +36,9 @@
   #busy = false;
   #closed = false;
   #restsSinceMs = performance.now();
+  /** When the call on it was sent, until its answer begins. */
+  #silentSinceMs: number | undefined;
+  #heardAtMs = performance.now();
   #broken = false;
 
   /**
@@ -56,6 +59,7 @@
         }
         this.#socket = socket;
         this.#restsSinceMs = performance.now();
+        this.#heardAtMs = this.#restsSinceMs;
         this.#client = this.#clientOn(`http://${address}:${port}`, socket);
         listener.onOpen(this);
       },
@@ -80,6 +84,16 @@
     return performance.now() - this.#restsSinceMs;
   }
 
+  /** Moment since which the call on it has no answer; nothing where none is awaited. */
+  get silentSinceMs(): number | undefined {
+    return this.#silentSinceMs;
+  }
+
+  /** Moment at which something last came in on it, its opening included. */
+  get heardAtMs(): number {
+    return this.#heardAtMs;
+  }
+
   /** Whether a call can be sent on it now. */
   get isFree(): boolean {
     return this.isOpen && !this.#busy;
@@ -93,12 +107,20 @@
    */
   send(options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler): void {
     this.#busy = true;
+    this.#silentSinceMs = performance.now();
     this.#client?.dispatch(options, handler);
   }
 
+  /** Says that an answer has begun to come in on it. */
+  noteHeard(): void {
+    this.#silentSinceMs = undefined;
+    this.#heardAtMs = performance.now();
+  }
+
   /** Says that the call on it has ended. */
   release(): void {
     this.#busy = false;
+    this.#silentSinceMs = undefined;
     this.#restsSinceMs = performance.now();
   }
 
--- a/calls/leaf_line.ts
+++ b/calls/leaf_line.ts
@@ -32,6 +32,12 @@
  */
 const MOST_RESTED_MS = 200;
 
+/**
+ * Time without an answer after which a connection may have gone silent for good, in milliseconds, and
+ * with it the others to the same leaf. Above what leafs pause, 150 to 250 ms, with a queue on top.
+ */
+const SILENT_MS = 500;
+
 /** What a line needs of its box. */
 export interface LeafLineOptions {
   /** Requests that the leaf runs at the same time. */
@@ -112,7 +118,8 @@
     if (call === undefined) {
       return;
     }
-    if (!call.isRepeatable && connection.restedMs > MOST_RESTED_MS) {
+    const isTooOld = !call.isRepeatable && connection.restedMs > MOST_RESTED_MS;
+    if (isTooOld || this.#mayBeSilent(connection)) {
       connection.close();
       return;
     }
@@ -120,6 +127,17 @@
     this.#sendOn(connection, call);
   }
 
+  /** Whether another connection has got no answer for long, and this one was not heard since either. */
+  #mayBeSilent({ heardAtMs }: LeafConnection): boolean {
+    const longAgoMs = performance.now() - SILENT_MS;
+    for (const { silentSinceMs = Number.POSITIVE_INFINITY } of this.#connections) {
+      if (silentSinceMs < longAgoMs && heardAtMs < silentSinceMs) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   #sendOn(connection: LeafConnection, call: WaitingCall): void {
     connection.send(call.options(), new ReleasingHandler(call, connection, this));
   }
@@ -217,6 +235,7 @@
     statusCode: number,
     headers: Parameters<NonNullable<WaitingCall["onResponseStart"]>>[2],
   ): void {
+    this.#connection.noteHeard();
     this.#call.onResponseStart?.(controller, statusCode, headers);
   }
 
--- a/relay/relay_calls_test.ts
+++ b/relay/relay_calls_test.ts
@@ -4,6 +4,7 @@
 import type { Member } from "../model/mod.js";
 import type { RelayedParts } from "../request/mod.js";
 import { sampleMember } from "../standins/sample_member.js";
+import { until } from "../standins/waiting.js";
 import { RelayCalls } from "./relay_calls.js";
 import { encodeRelayed } from "./relay_frames.js";
 import type { MergedOrder } from "./relay_order.js";
@@ -53,13 +54,6 @@
   return { member: sampleMember({ peerPort: port }), silence, countUnanswered };
 }
 
-/** Waits for a state that the loop is to bring about. */
-async function until(isSo: () => boolean): Promise<void> {
-  while (!isSo()) {
-    await new Promise((resolve) => setImmediate(resolve));
-  }
-}
-
 /** Sends an order; tells whether parts came in before its end. */
 function send(relays: RelayCalls, member: Member): Promise<boolean> {
   return new Promise((resolve) => {
@@ -84,7 +78,7 @@
     // The connection is free again only after its answer has been taken.
     await new Promise((resolve) => setImmediate(resolve));
     const lost = send(relays, member);
-    await until(() => countUnanswered() === 1);
+    await until(async () => countUnanswered() === 1, "the order has reached the box");
     nowMs += LONG_MS;
     t.equal(relays.choose([member]), undefined, "a box that is silent is passed over");
     relays.dropOverdue();
