Split long files: answers and calls to leafs, a box's life, the store's health, the request's tests

Change: moves only, by job: calls/_answer_reader, calls/leaf_call, box/box_life, box/store_health, request/_request_driver, request/relayed_test, request/overload_test, standins/sample_member.

--- a/box/box_knowledge.ts
+++ b/box/box_knowledge.ts
@@ -16,20 +16,9 @@
 import type { BoxTelemetry } from "./box_telemetry.js";
 import type { Progress } from "./fleet_messages.js";
 import { LeafRegistry } from "./leaf_registry.js";
-import { type RegistryListener, RegistryWatch } from "./registry_watch.js";
+import { RegistryWatch } from "./registry_watch.js";
 import { type SharedKnowledge, shareKnowledge } from "./shared_knowledge.js";
-
-/**
- * Time that a leaf's entry has to come back after an outage of the store, in milliseconds: entries
- * that lapsed meanwhile are written anew within about two seconds, or their leafs are gone.
- */
-const REAPPEAR_MS = 2_000;
-
-/**
- * Time after the store's return in which entries that are gone are taken to have lapsed, in
- * milliseconds; those whose leafs live are back by then.
- */
-const RETURN_MS = 2_500;
+import { StoreHealth } from "./store_health.js";
 
 /**
  * Services up to which a box lists the leafs at once when it starts. Where there are more, the list
@@ -70,14 +59,11 @@
   readonly #configurationWatch: RegistryWatch;
   readonly #leafWatch: RegistryWatch;
   readonly #leafs: LeafRegistry;
+  readonly #health: StoreHealth;
   #startedAtMs = 0;
   #isWatcher = true;
   #routes: RouteTable | undefined;
   #adopted: AdoptedConfiguration | undefined;
-  /** Kinds whose watch has lost the store. */
-  readonly #lost = new Set<string>();
-  #regainedAtMs = -Infinity;
-  #heardAtMs = -Infinity;
 
   /**
    * @param options - What the knowledge is made from.
@@ -85,22 +71,24 @@
   constructor(options: BoxKnowledgeOptions) {
     this.#options = options;
     const { nowMs, onLeafs, store, telemetry, waitMs } = options;
+    const health = new StoreHealth({ telemetry, nowMs });
+    this.#health = health;
     this.#leafs = new LeafRegistry({
       telemetry,
       nowMs,
-      graceMs: () => this.#graceMs(),
+      graceMs: () => health.graceMs,
       onChange: onLeafs,
     });
     this.#configurationWatch = new RegistryWatch(
       { store, kind: CONFIGURATION_KIND, waitMs, mayBeStale: false },
-      this.#listener(CONFIGURATION_KIND, {
+      health.listener(CONFIGURATION_KIND, {
         onList: ({ objects }) => this.#readConfiguration(objects),
         onChanges: ({ changed }) => this.#readConfiguration(changed),
       }),
     );
     this.#leafWatch = new RegistryWatch(
       { store, kind: LEAF_KIND, waitMs, mayBeStale: true },
-      this.#listener(LEAF_KIND, {
+      health.listener(LEAF_KIND, {
         onList: (list) => this.#leafs.takeList(list),
         onChanges: (changes) => this.#leafs.takeChanges(changes),
       }),
@@ -170,7 +158,7 @@
       watch.resume(revision);
     } else {
       watch.pause();
-      this.#lost.delete(kind);
+      this.#health.forget(kind);
     }
   }
 
@@ -204,12 +192,12 @@
 
   /** When the store or a peer's news was last heard, on this box's clock; minus infinity before. */
   get heardAtMs(): number {
-    return this.#heardAtMs;
+    return this.#health.heardAtMs;
   }
 
   /** Whether the store can be heard. */
   get hearsStore(): boolean {
-    return this.#lost.size === 0;
+    return this.#health.isHeard;
   }
 
   /** Drops the leafs whose entry did not come back in time. */
@@ -244,42 +232,13 @@
    * @param shared - What the peer handed over.
    */
   takeOver(shared: SharedKnowledge): void {
-    this.#heardAtMs = this.#options.nowMs();
+    this.#health.noteHeard();
     this.#leafs.takeShared(shared);
     if (shared.configuration !== undefined) {
       this.#adopt(shared.configuration, "peer");
     }
   }
 
-  #listener(
-    kind: string,
-    handlers: Pick<RegistryListener, "onList" | "onChanges">,
-  ): RegistryListener {
-    const { telemetry, nowMs } = this.#options;
-    return {
-      ...handlers,
-      onHeard: () => {
-        this.#heardAtMs = nowMs();
-      },
-      onLost: (error) => {
-        this.#lost.add(kind);
-        telemetry.event("warn", "store: lost", { kind, reason: error.message });
-      },
-      onHistoryGone: () => telemetry.event("warn", "store: history gone, listing anew", { kind }),
-      onRegained: () => {
-        this.#lost.delete(kind);
-        this.#regainedAtMs = nowMs();
-        telemetry.event("info", "store: regained", { kind });
-      },
-    };
-  }
-
-  /** After the store was away, entries that are gone may have lapsed and come back. */
-  #graceMs(): number {
-    const sinceReturnMs = this.#options.nowMs() - this.#regainedAtMs;
-    return !this.hearsStore || sinceReturnMs < RETURN_MS ? REAPPEAR_MS : 0;
-  }
-
   #readConfiguration(objects: ReadonlyArray<StoreObject>): void {
     const object = objects.find(({ name }) => name === CONFIGURATION_NAME);
     if (object === undefined) {
--- a/box/box_shell.ts
+++ b/box/box_shell.ts
@@ -5,18 +5,12 @@
  */
 import type { Server } from "node:http";
 import { LeafCalls } from "../calls/mod.js";
-import {
-  type Lifecycle,
-  type LifecycleEvent,
-  lifecyclePhase,
-  moveLifecycle,
-  NEW_LIFECYCLE,
-} from "../lifecycle/mod.js";
 import type { Member } from "../model/mod.js";
 import { type BoxSettings, StoreClient } from "../platform/mod.js";
 import { RelayCalls } from "../relay/mod.js";
 import { listen } from "./_listen.js";
 import { BoxKnowledge } from "./box_knowledge.js";
+import { BoxLife } from "./box_life.js";
 import { type BoxReport, reportBox } from "./box_report.js";
 import type { BoxTelemetry } from "./box_telemetry.js";
 import { callerServer, keepIdleCallers } from "./caller_server.js";
@@ -35,12 +29,6 @@
 /** Time that callers may keep an answer of the directory, in milliseconds; at most the setting. */
 const KEEP_MS = 5_000;
 
-/** Time before the end of the stop's grace at which new requests are no longer taken, in milliseconds. */
-const FINISH_MS = 1_500;
-
-/** Time before the end of the stop's grace at which the process ends in any case, in milliseconds. */
-const EXIT_MS = 250;
-
 /** Time between two looks at what is overdue, in milliseconds. */
 const TIDY_EVERY_MS = 200;
 
@@ -74,8 +62,7 @@
   readonly #callerServer: Server;
   readonly #servers: ReadonlyArray<ServerAtPort>;
   readonly #view: FleetView;
-  #lifecycle: Lifecycle = NEW_LIFECYCLE;
-  #stopping = false;
+  readonly #life: BoxLife;
   #tidyTimer: NodeJS.Timeout | undefined;
 
   /**
@@ -85,6 +72,13 @@
     this.#settings = settings;
     this.#telemetry = telemetry;
     this.#onEnd = onEnd;
+    this.#life = new BoxLife({
+      telemetry,
+      runningCount: () => this.#runner.runningCount,
+      onLeaving: () => this.#leave(),
+      onFinishing: () => this.#takeNoMore(),
+      onEnd: () => this.#end(),
+    });
     this.#store = new StoreClient(settings.store);
     this.#view = new FleetView({
       settings: () => this.#settings,
@@ -172,14 +166,14 @@
         const limits = this.#knowledge.routes?.configuration.callerLimits;
         return limits?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES;
       },
-      isLeaving: () => lifecyclePhase(this.#lifecycle) !== "ready",
+      isLeaving: () => this.#life.phase !== "ready",
       onRequest: (arrived, answer) => intake.take(arrived, answer),
     });
     this.#servers = [
       { server: this.#callerServer, port: settings.callers.port },
       ...sideServers({
         settings,
-        isReady: () => lifecyclePhase(this.#lifecycle) === "ready",
+        isReady: () => this.#life.phase === "ready",
         advise: (region) => this.#view.advise(region),
         keepMs: () => Math.min(KEEP_MS, this.#settings.mostKeepMs),
         report: () => this.#report(),
@@ -223,22 +217,23 @@
 
   /** Begins a planned stop: no longer advised, serves on, finishes what it took, ends. */
   stop(): void {
-    if (this.#stopping) {
-      return;
-    }
-    this.#stopping = true;
-    this.#move("stopRequested");
+    this.#life.stop(this.#settings.stopGraceMs);
+  }
+
+  #leave(): void {
     this.#fleet.declare("leaving");
     this.#view.changed();
-    const { stopGraceMs } = this.#settings;
-    setTimeout(() => this.#finish(), stopGraceMs - FINISH_MS);
-    setTimeout(() => this.#end(), stopGraceMs - EXIT_MS);
+  }
+
+  #takeNoMore(): void {
+    this.#callerServer.close();
+    this.#callerServer.closeIdleConnections();
   }
 
   #report(): BoxReport {
     return reportBox({
       box: this.#settings.box,
-      phase: lifecyclePhase(this.#lifecycle),
+      phase: this.#life.phase,
       knowledge: this.#knowledge,
       condition: (leafId) => this.#calls.condition(leafId),
       runningCount: this.#runner.runningCount,
@@ -248,23 +243,7 @@
     });
   }
 
-  #finish(): void {
-    this.#move("adviceExpired");
-    this.#callerServer.close();
-    this.#callerServer.closeIdleConnections();
-    const timer = setInterval(() => {
-      if (this.#runner.runningCount === 0) {
-        clearInterval(timer);
-        this.#end();
-      }
-    }, 50);
-  }
-
   #end(): void {
-    if (lifecyclePhase(this.#lifecycle) === "stopped") {
-      return;
-    }
-    this.#move("drained");
     clearInterval(this.#tidyTimer);
     this.#knowledge.stop();
     this.#fleet.stop();
@@ -272,12 +251,6 @@
     void this.#telemetry.flush().then(() => this.#onEnd());
   }
 
-  #move(event: LifecycleEvent["type"]): void {
-    this.#lifecycle = moveLifecycle(this.#lifecycle, event);
-    const phase = lifecyclePhase(this.#lifecycle);
-    this.#telemetry.event("info", "box: phase", { phase, event });
-  }
-
   #configured(): void {
     const limits = this.#knowledge.routes?.configuration.callerLimits;
     if (limits !== undefined) {
@@ -288,8 +261,8 @@
 
   /** Takes work once all that is needed is known, and tells the boxes that hear from this one. */
   #learned(): void {
-    if (this.#knowledge.isComplete && lifecyclePhase(this.#lifecycle) === "starting") {
-      this.#move("configured");
+    if (this.#knowledge.isComplete && this.#life.phase === "starting") {
+      this.#life.configured();
       this.#fleet.declare("alive");
       this.#view.changed();
     }
@@ -309,7 +282,7 @@
     this.#relays.dropOverdue();
     this.#knowledge.dropOverdue();
     // One that leaves is told of nothing any more and goes on by itself.
-    const isWatcher = this.#stopping || this.#view.watchesStore();
+    const isWatcher = this.#life.isStopping || this.#view.watchesStore();
     this.#knowledge.setWatcher(isWatcher);
     this.#telemetry.storeCalls.set(this.#store.calls);
   }
--- a/box/relay_places_test.ts
+++ b/box/relay_places_test.ts
@@ -1,24 +1,13 @@
 import t from "tap";
 import type { Member } from "../model/mod.js";
+import { sampleMember } from "../standins/sample_member.js";
 import { RelayPlaces } from "./relay_places.js";
 
 /** Two data centres in a region that is called like one of them, and one elsewhere. */
 const REGIONS: Readonly<Record<string, string>> = { a: "a", d: "a", b: "south" };
 
 function member(memberId: string, dataCentre: string): Member {
-  return {
-    memberId,
-    incarnation: memberId,
-    startedAtEpochMs: 0,
-    version: 1,
-    state: "alive",
-    role: "entry",
-    box: memberId,
-    dataCentre,
-    address: memberId,
-    peerPort: 1,
-    callerPort: 2,
-  };
+  return sampleMember({ memberId, dataCentre, address: memberId });
 }
 
 const MEMBERS = [member("box-a", "a"), member("box-d", "d"), member("box-b", "b")];
--- a/box/serving_boxes_test.ts
+++ b/box/serving_boxes_test.ts
@@ -1,21 +1,10 @@
 import t from "tap";
 import type { Member } from "../model/mod.js";
+import { sampleMember } from "../standins/sample_member.js";
 import { servingBoxes } from "./serving_boxes.js";
 
 function box(name: string, processorCores?: number): Member {
-  const member: Member = {
-    memberId: name,
-    incarnation: name,
-    startedAtEpochMs: 0,
-    version: 1,
-    state: "alive",
-    role: "entry",
-    box: name,
-    dataCentre: "a",
-    address: name,
-    peerPort: 1,
-    callerPort: 2,
-  };
+  const member = sampleMember({ memberId: name, dataCentre: "a", address: name });
   return processorCores === undefined ? member : { ...member, processorCores };
 }
 
--- /dev/null
+++ b/calls/_answer_reader.ts
@@ -0,0 +1,138 @@
+/**
+ * Reads the answer to one call to a leaf.
+ *
+ * @module
+ */
+import type { Dispatcher } from "undici";
+import {
+  decodeLeafNews,
+  decodeLeafResponse,
+  encodeLeafHeaders,
+  isAnswerTo,
+} from "../platform/mod.js";
+import type { AnswerHeaders, AttemptOutcome } from "../request/mod.js";
+import type { LeafCall } from "./leaf_call.js";
+import type { WaitingCall } from "./leaf_line.js";
+
+/** Why a call ended that this box took back. */
+export const ABANDONED = "abandoned";
+
+/** How a call ended, with what the leaf told beside it. */
+export interface EndedCall {
+  readonly outcome: AttemptOutcome;
+  readonly toldLoad: number | undefined;
+}
+
+/** Reads one answer whole; anything else ends the call and its connection. */
+export class AnswerReader implements WaitingCall {
+  readonly #call: LeafCall;
+  readonly #nowMs: () => number;
+  readonly #onEnd: (ended: EndedCall) => void;
+  #controller: Dispatcher.DispatchController | undefined;
+  #sent = false;
+  #ended = false;
+  #statusCode = 0;
+  #headers: AnswerHeaders = {};
+  readonly #chunks: Array<Buffer> = [];
+
+  constructor(call: LeafCall, nowMs: () => number, onEnd: (ended: EndedCall) => void) {
+    this.#call = call;
+    this.#nowMs = nowMs;
+    this.#onEnd = onEnd;
+  }
+
+  get isEnded(): boolean {
+    return this.#ended;
+  }
+
+  get isRepeatable(): boolean {
+    return this.#call.repeatable;
+  }
+
+  options(): Dispatcher.DispatchOptions {
+    const { leaf, method, path, headers, body, deadlineAtMs } = this.#call;
+    const leftMs = Math.max(1, Math.floor(deadlineAtMs - this.#nowMs()));
+    return {
+      method: method as Dispatcher.HttpMethod,
+      path,
+      headers: encodeLeafHeaders(headers, { leafId: leaf.leafId, leftMs }),
+      body: body ?? null,
+      idempotent: false,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+    };
+  }
+
+  onNoConnection(): void {
+    this.#fail("no connection");
+  }
+
+  abandon(): void {
+    this.#fail(ABANDONED);
+    this.#controller?.abort(new Error(ABANDONED));
+  }
+
+  withdraw(): void {
+    if (!this.#sent) {
+      this.#fail(ABANDONED);
+    }
+  }
+
+  onRequestStart(controller: Dispatcher.DispatchController): void {
+    this.#controller = controller;
+    if (this.#ended) {
+      controller.abort(new Error(ABANDONED));
+      return;
+    }
+    this.#sent = true;
+  }
+
+  onResponseStart(
+    controller: Dispatcher.DispatchController,
+    statusCode: number,
+    headers: AnswerHeaders,
+  ): void {
+    if (statusCode < 200) {
+      return;
+    }
+    if (!isAnswerTo(headers, this.#call.requestId)) {
+      this.#fail("answer to another request");
+      controller.abort(new Error("answer to another request"));
+      return;
+    }
+    this.#statusCode = statusCode;
+    this.#headers = headers;
+  }
+
+  onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    this.#chunks.push(chunk);
+  }
+
+  onResponseEnd(): void {
+    if (this.#ended) {
+      return;
+    }
+    const body = this.#chunks.length === 1 ? this.#chunks[0] : Buffer.concat(this.#chunks);
+    const response = {
+      statusCode: this.#statusCode,
+      headers: this.#headers,
+      body: body ?? Buffer.alloc(0),
+    };
+    this.#end(decodeLeafResponse(response));
+  }
+
+  onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
+    this.#fail(error.message);
+  }
+
+  #fail(reason: string): void {
+    this.#end({ kind: "failed", sent: this.#sent, reason });
+  }
+
+  #end(outcome: AttemptOutcome): void {
+    if (!this.#ended) {
+      this.#ended = true;
+      this.#onEnd({ outcome, toldLoad: decodeLeafNews(this.#headers).toldLoad });
+    }
+  }
+}
--- a/calls/leaf_calls.ts
+++ b/calls/leaf_calls.ts
@@ -3,7 +3,6 @@
  *
  * @module
  */
-import type { Dispatcher } from "undici";
 import {
   type CallEnd,
   type Leaf,
@@ -12,29 +11,10 @@
   noteEnded,
   noteSent,
 } from "../leafs/mod.js";
-import {
-  decodeLeafNews,
-  decodeLeafResponse,
-  encodeLeafHeaders,
-  isAnswerTo,
-} from "../platform/mod.js";
-import type { AnswerHeaders, AttemptOutcome } from "../request/mod.js";
-import { LeafLine, type WaitingCall } from "./leaf_line.js";
-
-/** A call to be made. */
-export interface LeafCall {
-  readonly leaf: Leaf;
-  readonly requestId: string;
-  readonly method: string;
-  readonly path: string;
-  /** The caller's headers that are passed on, names and values by turns. */
-  readonly headers: ReadonlyArray<string>;
-  readonly body: Buffer | undefined;
-  /** Whether it may run more than once. */
-  readonly repeatable: boolean;
-  /** Moment at which the answer is of no more use, on this box's clock. */
-  readonly deadlineAtMs: number;
-}
+import type { AttemptOutcome } from "../request/mod.js";
+import { ABANDONED, AnswerReader } from "./_answer_reader.js";
+import type { LeafCall } from "./leaf_call.js";
+import { LeafLine } from "./leaf_line.js";
 
 /** A call under way. */
 export interface OpenCall {
@@ -199,125 +179,3 @@
 function resultOf(outcome: AttemptOutcome): CallEnd["result"] {
   return (RESULTS[outcome.kind] as (outcome: AttemptOutcome) => CallEnd["result"])(outcome);
 }
-
-const ABANDONED = "abandoned";
-
-/** How a call ended, with what the leaf told beside it. */
-interface EndedCall {
-  readonly outcome: AttemptOutcome;
-  readonly toldLoad: number | undefined;
-}
-
-/** Reads one answer whole; anything else ends the call and its connection. */
-class AnswerReader implements WaitingCall {
-  readonly #call: LeafCall;
-  readonly #nowMs: () => number;
-  readonly #onEnd: (ended: EndedCall) => void;
-  #controller: Dispatcher.DispatchController | undefined;
-  #sent = false;
-  #ended = false;
-  #statusCode = 0;
-  #headers: AnswerHeaders = {};
-  readonly #chunks: Array<Buffer> = [];
-
-  constructor(call: LeafCall, nowMs: () => number, onEnd: (ended: EndedCall) => void) {
-    this.#call = call;
-    this.#nowMs = nowMs;
-    this.#onEnd = onEnd;
-  }
-
-  get isEnded(): boolean {
-    return this.#ended;
-  }
-
-  get isRepeatable(): boolean {
-    return this.#call.repeatable;
-  }
-
-  options(): Dispatcher.DispatchOptions {
-    const { leaf, method, path, headers, body, deadlineAtMs } = this.#call;
-    const leftMs = Math.max(1, Math.floor(deadlineAtMs - this.#nowMs()));
-    return {
-      method: method as Dispatcher.HttpMethod,
-      path,
-      headers: encodeLeafHeaders(headers, { leafId: leaf.leafId, leftMs }),
-      body: body ?? null,
-      idempotent: false,
-      headersTimeout: 0,
-      bodyTimeout: 0,
-    };
-  }
-
-  onNoConnection(): void {
-    this.#fail("no connection");
-  }
-
-  abandon(): void {
-    this.#fail(ABANDONED);
-    this.#controller?.abort(new Error(ABANDONED));
-  }
-
-  withdraw(): void {
-    if (!this.#sent) {
-      this.#fail(ABANDONED);
-    }
-  }
-
-  onRequestStart(controller: Dispatcher.DispatchController): void {
-    this.#controller = controller;
-    if (this.#ended) {
-      controller.abort(new Error(ABANDONED));
-      return;
-    }
-    this.#sent = true;
-  }
-
-  onResponseStart(
-    controller: Dispatcher.DispatchController,
-    statusCode: number,
-    headers: AnswerHeaders,
-  ): void {
-    if (statusCode < 200) {
-      return;
-    }
-    if (!isAnswerTo(headers, this.#call.requestId)) {
-      this.#fail("answer to another request");
-      controller.abort(new Error("answer to another request"));
-      return;
-    }
-    this.#statusCode = statusCode;
-    this.#headers = headers;
-  }
-
-  onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
-    this.#chunks.push(chunk);
-  }
-
-  onResponseEnd(): void {
-    if (this.#ended) {
-      return;
-    }
-    const body = this.#chunks.length === 1 ? this.#chunks[0] : Buffer.concat(this.#chunks);
-    const response = {
-      statusCode: this.#statusCode,
-      headers: this.#headers,
-      body: body ?? Buffer.alloc(0),
-    };
-    this.#end(decodeLeafResponse(response));
-  }
-
-  onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
-    this.#fail(error.message);
-  }
-
-  #fail(reason: string): void {
-    this.#end({ kind: "failed", sent: this.#sent, reason });
-  }
-
-  #end(outcome: AttemptOutcome): void {
-    if (!this.#ended) {
-      this.#ended = true;
-      this.#onEnd({ outcome, toldLoad: decodeLeafNews(this.#headers).toldLoad });
-    }
-  }
-}
--- a/calls/leaf_calls_test.ts
+++ b/calls/leaf_calls_test.ts
@@ -5,7 +5,8 @@
 import { LEAF_HEADERS } from "../platform/mod.js";
 import type { AttemptOutcome } from "../request/mod.js";
 import { pause, until } from "../standins/waiting.js";
-import { type LeafCall, LeafCalls } from "./leaf_calls.js";
+import type { LeafCall } from "./leaf_call.js";
+import { LeafCalls } from "./leaf_calls.js";
 
 const LOOPBACK = "127.0.0.1";
 
--- a/calls/mod.ts
+++ b/calls/mod.ts
@@ -3,4 +3,5 @@
  *
  * @module
  */
+export * from "./leaf_call.js";
 export * from "./leaf_calls.js";
--- /dev/null
+++ b/request/_request_driver.ts
@@ -0,0 +1,138 @@
+/**
+ * Drives one request through the core, for its tests.
+ *
+ * @module
+ */
+import type { Route } from "../routing/mod.js";
+import { newRequest, stepRequest } from "./request_core.js";
+import type {
+  AttemptOutcome,
+  LeafAnswer,
+  RequestEffect,
+  RequestEvent,
+  RequestState,
+  RequestWorld,
+} from "./request_state.js";
+
+export const GATHER: Route = {
+  name: "sweep",
+  host: "h",
+  prefix: "/a/",
+  repeatable: true,
+  timeoutMs: 1_000,
+  aimMs: 100,
+  priorityRank: 0,
+  maxAttempts: 2,
+  target: { kind: "gather", shards: ["s1", "s2"], topRecords: 2, leastShare: 0.5 },
+};
+
+export const GATHER_MANY: Route = {
+  ...GATHER,
+  target: { kind: "gather", shards: ["s1", "s2", "s3", "s4"], topRecords: 2, leastShare: 0.5 },
+};
+
+export const SINGLE: Route = {
+  ...GATHER,
+  target: { kind: "single", services: [{ service: "s1", weight: 1 }] },
+};
+
+export const UNREPEATABLE: Route = { ...SINGLE, repeatable: false };
+
+/** What a driven request meets. */
+export interface DriverOptions {
+  readonly extraCalls?: number;
+  readonly far?: boolean;
+  /** Ends of the leafs' ids that lie in another region; "a" by default. */
+  readonly relayedLeafs?: ReadonlyArray<string>;
+  readonly finishShare?: number;
+  /** Expected wait at each service's leafs, in milliseconds; none by default. */
+  readonly queueMs?: Readonly<Record<string, number>>;
+  /** Services that have no leaf. */
+  readonly withoutLeafs?: ReadonlyArray<string>;
+}
+
+/** Drives one request: leafs are `<service>-a` and `<service>-b`, extra calls as many as told. */
+export class Driver {
+  state: RequestState;
+  effects: ReadonlyArray<RequestEffect> = [];
+  nowMs = 0;
+  extraCalls: number;
+  readonly relayedLeafs: ReadonlyArray<string>;
+  readonly withoutLeafs: ReadonlyArray<string>;
+  readonly queueMs: Readonly<Record<string, number>>;
+  leafs: ReadonlyArray<string> = ["a", "b"];
+  /** Whether another region has a box to rely on. */
+  hasBox = true;
+
+  constructor(route: Route, options: DriverOptions = {}) {
+    const {
+      extraCalls = 10,
+      far = false,
+      relayedLeafs = far ? ["a"] : [],
+      finishShare = 1,
+    } = options;
+    this.withoutLeafs = options.withoutLeafs ?? [];
+    this.queueMs = options.queueMs ?? {};
+    this.extraCalls = extraCalls;
+    this.relayedLeafs = relayedLeafs;
+    const terms = {
+      requestId: "r",
+      route,
+      arrivedAtMs: 0,
+      deadlineAtMs: 1_000,
+      aimAtMs: 100,
+      maxAttempts: route.maxAttempts,
+      mostQueueMs: 50,
+      finishShare,
+    };
+    const { target } = route;
+    this.state = newRequest(terms, target.kind === "gather" ? target.shards : ["s1"]);
+    this.take({ kind: "started" });
+  }
+
+  take(event: RequestEvent): ReadonlyArray<RequestEffect> {
+    const world: RequestWorld = {
+      nowMs: this.nowMs,
+      chooseLeaf: (service, excluded) => {
+        const leafs = this.withoutLeafs.includes(service) ? [] : this.leafs;
+        const leafIds = leafs.map((leaf) => `${service}-${leaf}`);
+        const leafId = leafIds.find((each) => !excluded.has(each));
+        const isFar = this.relayedLeafs.some((end) => leafId?.endsWith(`-${end}`));
+        const relayPlace = isFar ? "south" : undefined;
+        const queueMs = this.queueMs[service] ?? 0;
+        return leafId === undefined ? undefined : { leafId, expectedMs: 5, relayPlace, queueMs };
+      },
+      chooseBox: (region) => {
+        return this.hasBox ? { box: `box in ${region}`, expectedMs: 5 } : undefined;
+      },
+      takeExtraCall: () => {
+        this.extraCalls -= 1;
+        return this.extraCalls >= 0;
+      },
+    };
+    const next = stepRequest(this.state, event, world);
+    this.state = next.state;
+    this.effects = next.effects;
+    return next.effects;
+  }
+
+  end(attemptId: number, outcome: AttemptOutcome): ReadonlyArray<RequestEffect> {
+    return this.take({ kind: "attemptEnded", attemptId, outcome });
+  }
+}
+
+export function answered(statusCode: number, signature: string, first = 1): AttemptOutcome {
+  return { kind: "answered", answer: leafAnswer(statusCode, signature, first) };
+}
+
+export function leafAnswer(statusCode: number, signature: string, first: number): LeafAnswer {
+  return { statusCode, headers: {}, signature, body: Buffer.alloc(16, first) };
+}
+
+export function calls(effects: ReadonlyArray<RequestEffect>): ReadonlyArray<string> {
+  return effects.flatMap((effect) => (effect.kind === "call" ? [effect.leafId] : []));
+}
+
+export function replyOf(effects: ReadonlyArray<RequestEffect>) {
+  return effects.flatMap((effect) => (effect.kind === "reply" ? [effect.reply] : []))[0];
+}
--- /dev/null
+++ b/request/overload_test.ts
@@ -0,0 +1,36 @@
+import t from "tap";
+import { calls, Driver, GATHER, GATHER_MANY, replyOf } from "./_request_driver.js";
+
+t.test("a query is refused at once where most leafs near have too long a queue", async (t) => {
+  const driver = new Driver(GATHER_MANY, { queueMs: { s1: 80, s2: 60, s3: 90 } });
+  const reply = replyOf(driver.effects);
+  t.same(calls(driver.effects), [], "nothing is sent");
+  t.equal(reply?.kind, "notRun");
+  t.ok(
+    reply?.kind === "notRun" && reply.retryAfterMs >= 300,
+    "the caller learns when to come back",
+  );
+});
+
+t.test("a query is sent where only a slow shard has too long a queue", async (t) => {
+  const driver = new Driver(GATHER_MANY, { queueMs: { s1: 500, s2: 40, s3: 40 } });
+  t.equal(calls(driver.effects).length, 4);
+});
+
+t.test("a query is refused for queues at leafs that a box elsewhere would ask", async (t) => {
+  const relayedLeafs = ["a", "b"];
+  const calm = new Driver(GATHER, { queueMs: { s1: 40, s2: 40 }, relayedLeafs });
+  t.equal(replyOf(calm.effects), undefined);
+  const busy = new Driver(GATHER, { queueMs: { s1: 60, s2: 60 }, relayedLeafs });
+  t.equal(replyOf(busy.effects)?.kind, "notRun");
+});
+
+t.test(
+  "a shard is not asked again for time where the other leaf's queue is too long",
+  async (t) => {
+    const driver = new Driver(GATHER_MANY, { queueMs: { s1: 60 } });
+    driver.nowMs = 60;
+    const hedged = calls(driver.take({ kind: "timer", timer: "hedge" }));
+    t.same(hedged, ["s2-b", "s3-b", "s4-b"], "only the shards whose other leaf is free");
+  },
+);
