--- a/fault_soak/fault_handlers.ts
+++ b/fault_soak/fault_handlers.ts
@@ -28,6 +28,7 @@
   "storeSlow",
   "storeForgets",
   "boxCutFromStore",
+  "storeConnectionsSilent",
   "boxPaused",
   "boxKilled",
   "boxStopped",
@@ -55,6 +56,7 @@
     await pause(forMs);
     link.heal();
   }),
+  leafConnectionsSilent: onLeaf(async ({ link }) => link.silence()),
   leafFull: onLeaf(async ({ leaf }, forMs) => {
     leaf.change({ full: true });
     await pause(forMs);
@@ -100,6 +102,11 @@
     hit?.storeLink.reset();
     return hit !== undefined;
   },
+  storeConnectionsSilent: async ({ boxes }, { target }) => {
+    const hit = pick(boxes, target);
+    hit?.storeLink.silence();
+    return hit !== undefined;
+  },
   boxPaused: onBox(async ({ box }, forMs) => {
     box.process.signal("SIGSTOP");
     await pause(forMs);
--- a/fault_soak/fault_soak_test.ts
+++ b/fault_soak/fault_soak_test.ts
@@ -14,7 +14,7 @@
 
 for (const seed of [1]) {
   t.test(`real programs keep their promises under the faults of seed ${seed}`, async (t) => {
-    const report = await runFaultSoak({ seed, lengthMs: LENGTH_MS });
+    const report = await runFaultSoak({ seed, lengthMs: LENGTH_MS, boxes: 4 });
     t.same(report.broken, []);
     t.ok((report.statuses["200"] ?? 0) > 100, JSON.stringify(report.statuses));
     t.ok(Object.keys(report.occurred).length > 5, JSON.stringify(report.occurred));
--- a/fault_soak/link_proxy.ts
+++ b/fault_soak/link_proxy.ts
@@ -1,6 +1,6 @@
 /**
  * A loopback proxy before a leaf or the store, which harms what passes: delays it, holds it back one way
- * or both, or resets its connections.
+ * or both, resets its connections, or makes those that are open silent for good.
  *
  * @module
  */
@@ -23,11 +23,18 @@
 /** Time between two looks at whether data that is held may pass, in milliseconds. */
 const LOOK_EVERY_MS = 20;
 
+/** A caller's connection with the one to the target behind it. */
+interface Joined {
+  /** Whether nothing passes any more, either way, and neither side is told. */
+  isSilent: boolean;
+}
+
 /** A proxy before one target. */
 export class LinkProxy {
   readonly #targetPort: number;
   readonly #server: Server;
   readonly #sockets = new Set<Socket>();
+  readonly #joined = new Set<Joined>();
   #harm: LinkHarm = SOUND;
 
   /**
@@ -70,6 +77,13 @@
     }
   }
 
+  /** Lets nothing pass on the connections that are open now, without a word; new ones are sound. */
+  silence(): void {
+    for (const joined of this.#joined) {
+      joined.isSilent = true;
+    }
+  }
+
   /** Ends the proxy. */
   close(): void {
     this.#server.close();
@@ -78,15 +92,24 @@
 
   #join(caller: Socket): void {
     const target = connect(this.#targetPort, LOOPBACK);
-    this.#pass(caller, target, () => this.#harm.holdsRequests);
-    this.#pass(target, caller, () => this.#harm.holdsAnswers);
+    const joined: Joined = { isSilent: false };
+    this.#joined.add(joined);
+    caller.on("close", () => this.#joined.delete(joined));
+    this.#pass({ from: caller, to: target, joined }, () => this.#harm.holdsRequests);
+    this.#pass({ from: target, to: caller, joined }, () => this.#harm.holdsAnswers);
   }
 
-  #pass(from: Socket, to: Socket, isHeld: () => boolean): void {
+  #pass({ from, to, joined }: Passage, isHeld: () => boolean): void {
     this.#sockets.add(from);
     let last = Promise.resolve();
     const inOrder = (write: () => void): void => {
-      last = last.then(() => this.#wait(isHeld)).then(write);
+      last = last
+        .then(() => this.#wait(isHeld))
+        .then(() => {
+          if (!joined.isSilent) {
+            write();
+          }
+        });
     };
     from.on("data", (data: Buffer) => inOrder(() => !to.destroyed && to.write(data)));
     from.on("end", () => inOrder(() => to.end()));
@@ -105,6 +128,13 @@
   }
 }
 
+/** One way of a connection. */
+interface Passage {
+  readonly from: Socket;
+  readonly to: Socket;
+  readonly joined: Joined;
+}
+
 /**
  * Resets a connection. One that is being ended is closed without a reset: libuv refuses that, and Node
  * then never lets go of its handle, so that the process spins for ever when it ends.
--- a/fault_soak/link_proxy_test.ts
+++ b/fault_soak/link_proxy_test.ts
@@ -1,5 +1,6 @@
 import { connect, createServer, type Socket } from "node:net";
 import t from "tap";
+import { until } from "../standins/waiting.js";
 import { cutConnection, LinkProxy } from "./link_proxy.js";
 
 const LOOPBACK = "127.0.0.1";
@@ -70,3 +71,26 @@
   link.close();
   echo.stop();
 });
+
+t.test("silence() ends what passes on open connections, and new ones are sound", async (t) => {
+  const echo = await startEcho();
+  const link = new LinkProxy(echo.port);
+  const port = await link.open();
+  const old = await opened(port);
+  const heard: Array<string> = [];
+  old.on("data", (data) => heard.push(`old ${data}`));
+  old.write("a");
+  await until(async () => heard.length === 1, "the first is answered");
+  link.silence();
+  old.write("b");
+  const fresh = await opened(port);
+  fresh.on("data", (data) => heard.push(`new ${data}`));
+  fresh.write("c");
+  await until(async () => heard.length === 2, "the new connection is answered");
+  t.same(heard, ["old a", "new c"]);
+  t.notOk(old.destroyed, "the old one is not told");
+  old.destroy();
+  fresh.destroy();
+  link.close();
+  echo.stop();
+});
--- a/fault_soak/main.ts
+++ b/fault_soak/main.ts
@@ -7,17 +7,22 @@
 import { settingsOrExit } from "../settings/mod.js";
 import { runFaultSoak } from "./run_fault_soak.js";
 
-const USAGE = "Usage: npm run fault-soak -- --seed N --runs N --seconds N";
+const USAGE = "Usage: npm run fault-soak -- --seed N --runs N --seconds N --boxes N";
 
 const { settings } = settingsOrExit(USAGE, {
   seed: { kind: "number", help: "Seed of the first run", fallback: "1" },
   runs: { kind: "number", help: "Runs, each with the next seed", fallback: "1" },
+  boxes: { kind: "number", help: "Boxes, each a process", fallback: "4", least: 2, most: 250 },
   seconds: { kind: "number", help: "Time in which faults begin, for each run", fallback: "15" },
 });
 
 let failed = 0;
 for (let run = 0; run < settings.runs; run++) {
-  const options = { seed: settings.seed + run, lengthMs: settings.seconds * 1_000 };
+  const options = {
+    seed: settings.seed + run,
+    lengthMs: settings.seconds * 1_000,
+    boxes: settings.boxes,
+  };
   const report = await runFaultSoak(options);
   failed += report.broken.length > 0 ? 1 : 0;
   process.stdout.write(`${JSON.stringify(report)}\n`);
--- a/fault_soak/run_fault_soak.ts
+++ b/fault_soak/run_fault_soak.ts
@@ -14,6 +14,12 @@
 /** Time after the last fault in which nothing more is harmed, so that what is left must mend, in milliseconds. */
 const CALM_MS = 6_000;
 
+/** How a run is made. */
+export interface FaultSoakOptions extends FaultPlanOptions {
+  /** Boxes, each a process. */
+  readonly boxes: number;
+}
+
 /** What a run found. */
 export interface FaultSoakReport {
   readonly seed: number;
@@ -30,11 +36,11 @@
 /**
  * Runs the fault soak once.
  *
- * @param options - Its seed and length.
+ * @param options - Its seed, length and size.
  * @returns What it found.
  */
-export async function runFaultSoak(options: FaultPlanOptions): Promise<FaultSoakReport> {
-  const soak = await SoakFleet.start();
+export async function runFaultSoak(options: FaultSoakOptions): Promise<FaultSoakReport> {
+  const soak = await SoakFleet.start(options.boxes);
   try {
     return await new FaultSoak(soak, options).run();
   } finally {
--- a/fault_soak/soak_fleet.ts
+++ b/fault_soak/soak_fleet.ts
@@ -30,6 +30,7 @@
 const LEAST_SHARE = 0.5;
 
 const LEAF_ZONES: ReadonlyArray<ZoneName> = ["hall-a", "hall-b"];
+/** Where one box after the other stands. */
 const BOX_ZONES: ReadonlyArray<ZoneName> = ["hall-a", "hall-a", "hall-b", "hall-b"];
 
 /** A leaf with the proxy before it. */
@@ -71,9 +72,10 @@
   /**
    * Starts all programs and waits until the boxes are ready.
    *
+   * @param boxCount - How many boxes there are.
    * @returns The programs.
    */
-  static async start(): Promise<SoakFleet> {
+  static async start(boxCount: number): Promise<SoakFleet> {
     const soak = new SoakFleet(await BoxFleet.start());
     soak.changeConfiguration();
     for (const service of [...SHARDS, LEDGER]) {
@@ -81,8 +83,8 @@
         await soak.addLeaf(service, dataCentre);
       }
     }
-    for (const dataCentre of BOX_ZONES) {
-      await soak.#addBox(dataCentre);
+    for (let number = 0; number < boxCount; number++) {
+      await soak.#addBox(BOX_ZONES[number % BOX_ZONES.length] ?? "hall-a");
     }
     await soak.fleet.ready();
     return soak;
