Refuse for queues only where nearly half of the shards have them

Change: the share of shards with too long a queue from 0.3 to 0.45, the allowance from 0.2 to 0.15 of the aim.

--- a/request/_overload.ts
+++ b/request/_overload.ts
@@ -11,7 +11,7 @@
  * Share of the shards whose leafs' queues must be too long. Above what slow or pausing leafs alone come
  * to: a request that lacks only theirs is answered without them or late.
  */
-const OVERLOADED_SHARE = 0.3;
+const OVERLOADED_SHARE = 0.45;
 
 /** Least time after which a refused caller may come back, in milliseconds: queues empty in tenths of a second. */
 const LEAST_RETRY_MS = 300;
--- a/routing/queue_allowance.ts
+++ b/routing/queue_allowance.ts
@@ -10,7 +10,7 @@
  * Share of the aim that calls may wait at leafs. The rest is for the work itself, of which a query over
  * many shards meets the slowest, and for the way. From trials of a burst on the users' bench.
  */
-const QUEUE_AIM_SHARE = 0.2;
+const QUEUE_AIM_SHARE = 0.15;
 
 /** Share of a more urgent route's allowance that a route may use, for each rank that it is behind. */
 const LESS_URGENT_SHARE = 0.7;
