Give up calls that wait unsent at a leaf nobody hears; ask again for second calls that were refused

The second call at 0.4 of the aim had been refused by the budget and was never asked for again. Ruled out: the leaf's queue (nothing had been sent), the box's processor (it answered others). Change: a call that waits 300 ms while nothing is heard of its leaf is given up as not sent, so another leaf is asked at no cost; a second call that the budget refused is asked for again every quarter of the aim. Before: leaf_calls_test red (time-out), request_core_test red (no further timer). After: green.

--- a/calls/leaf_calls_test.ts
+++ b/calls/leaf_calls_test.ts
@@ -281,3 +281,37 @@
     hung.abandon();
   },
 );
+
+t.test("a call is given up, unsent, where its leaf is not heard of while it waits", async (t) => {
+  const server = createServer(() => undefined);
+  await new Promise<void>((resolve) => server.listen(0, LOOPBACK, resolve));
+  t.teardown(() => server.close());
+  t.teardown(() => server.closeAllConnections());
+  const calls = makeCalls(1);
+  const port = portOf(server);
+  const hung = calls.send(leafCall(port, { leftMs: 60_000 }), () => undefined);
+  await pause(SILENT_MS);
+  const outcome = await call(calls, port, { leftMs: 60_000 });
+  t.match(outcome, { kind: "failed", sent: false });
+  hung.abandon();
+});
+
+t.test("a call goes on waiting where its leaf answers others meanwhile", async (t) => {
+  const server = createServer((request, response) => {
+    const requestId = String(request.headers[LEAF_HEADERS.requestId]);
+    setTimeout(() => {
+      response.setHeader(LEAF_HEADERS.requestId, requestId);
+      response.setHeader(LEAF_HEADERS.signature, "stamp");
+      response.end("x");
+    }, 150);
+  });
+  await new Promise<void>((resolve) => server.listen(0, LOOPBACK, resolve));
+  t.teardown(() => server.close());
+  t.teardown(() => server.closeAllConnections());
+  const calls = makeCalls(1);
+  const port = portOf(server);
+  const outcomes = await Promise.all(
+    Array.from({ length: 6 }, () => call(calls, port, { leftMs: 60_000 })),
+  );
+  t.same(new Set(outcomes.map(({ kind }) => kind)), new Set(["answered"]));
+});
--- a/calls/leaf_line.ts
+++ b/calls/leaf_line.ts
@@ -38,6 +38,12 @@
  */
 const SILENT_MS = 500;
 
+/**
+ * Longest time that a call waits for a connection while nothing is heard of the leaf, in milliseconds;
+ * it has not been sent, so that another leaf can be asked at no cost. Above what leafs pause.
+ */
+const MOST_WAIT_MS = 300;
+
 /** What a line needs of its box. */
 export interface LeafLineOptions {
   /** Requests that the leaf runs at the same time. */
@@ -56,6 +62,9 @@
   readonly #slots: number;
   readonly #nowMs: () => number;
   #opening = 0;
+  /** When a connection last came up or an answer last came in. */
+  #heardAtMs = 0;
+  #waitTimer: NodeJS.Timeout | undefined;
   #openAfterMs = 0;
   #closing = false;
 
@@ -78,6 +87,12 @@
   send(call: WaitingCall): void {
     this.#waiting.push(call);
     this.#serve();
+    this.#limitWait();
+  }
+
+  /** Says that an answer has begun to come in. */
+  noteHeard(): void {
+    this.#heardAtMs = this.#nowMs();
   }
 
   /**
@@ -96,6 +111,33 @@
     this.#closeFree();
   }
 
+  /** Looks after a while whether what waits now still does and the leaf was not heard of since. */
+  #limitWait(): void {
+    if (this.#waiting.length === 0 || this.#waitTimer !== undefined) {
+      return;
+    }
+    const sinceMs = this.#nowMs();
+    const waiting = this.#waiting;
+    this.#waitTimer = setTimeout(() => {
+      // What has come in meanwhile is read first: this process may have had no time itself.
+      setImmediate(() => {
+        this.#waitTimer = undefined;
+        if (this.#heardAtMs < sinceMs) {
+          this.#giveUp(new Set(waiting));
+        }
+        this.#limitWait();
+      });
+    }, MOST_WAIT_MS);
+  }
+
+  #giveUp(calls: ReadonlySet<WaitingCall>): void {
+    const givenUp = this.#waiting.filter((call) => calls.has(call));
+    this.#waiting = this.#waiting.filter((call) => !calls.has(call));
+    for (const call of givenUp) {
+      call.onNoConnection();
+    }
+  }
+
   #serve(): void {
     this.#waiting = this.#waiting.filter((call) => !call.isEnded);
     for (const connection of this.#connections) {
@@ -178,6 +220,7 @@
     const connection = new LeafConnection(this.#where, {
       onOpen: () => {
         opened();
+        this.noteHeard();
         this.#serve();
       },
       onClose: (closed) => {
@@ -198,11 +241,7 @@
     if (this.#hasOpen()) {
       return;
     }
-    const failed = this.#waiting;
-    this.#waiting = [];
-    for (const call of failed) {
-      call.onNoConnection();
-    }
+    this.#giveUp(new Set(this.#waiting));
   }
 
   #closeFree(): void {
@@ -236,6 +275,7 @@
     headers: Parameters<NonNullable<WaitingCall["onResponseStart"]>>[2],
   ): void {
     this.#connection.noteHeard();
+    this.#line.noteHeard();
     this.#call.onResponseStart?.(controller, statusCode, headers);
   }
 
--- a/request/request_core.ts
+++ b/request/request_core.ts
@@ -36,6 +36,9 @@
 /** Share of the aim by which it is asked whatever the first call usually takes: later is too late. */
 const HEDGE_LATEST_AIM_SHARE = 0.5;
 
+/** Share of the aim after which a second call that the budget refused is asked for again. */
+const HEDGE_RETRY_AIM_SHARE = 0.25;
+
 /**
  * Starts the state of a request.
  *
@@ -143,7 +146,8 @@
       const isDue = shard !== undefined && hedgeAtMs(now, shard) <= world.nowMs;
       return isDue ? askAgain(now, { shardIndex, world, kind: "hedge" }) : step(now);
     });
-    return andThen(bundleFarCalls(hedged, world), (now) => wakeForHedge(now, world));
+    const called = bundleFarCalls(hedged, world);
+    return andThen(called, (now) => wakeForHedge(now, world, { isRetry: true }));
   },
   aim: (state) => judgeRequest({ ...state, pastAim: true }),
   deadline: (state) => judgeAtDeadline(state),
@@ -167,15 +171,25 @@
   return only.startedAtMs + Math.min(aimMs * HEDGE_LATEST_AIM_SHARE, usualMs);
 }
 
-/** Sets the timer for the next shard that will have waited long enough. */
-function wakeForHedge(state: RequestState, { nowMs }: RequestWorld): RequestStep {
-  if (state.done || !state.terms.route.repeatable) {
+/**
+ * Sets the timer for the next shard that will have waited long enough. After a timer, shards that were
+ * due and could not be asked again are tried once more a little later, as budgets fill up.
+ */
+function wakeForHedge(
+  state: RequestState,
+  { nowMs }: RequestWorld,
+  { isRetry = false }: { readonly isRetry?: boolean } = {},
+): RequestStep {
+  const { aimAtMs, arrivedAtMs, deadlineAtMs, maxAttempts, route } = state.terms;
+  if (state.done || !route.repeatable) {
     return step(state);
   }
+  const retryAtMs = nowMs + (aimAtMs - arrivedAtMs) * HEDGE_RETRY_AIM_SHARE;
   const next = state.shards
-    .filter(({ runs }) => runs < state.terms.maxAttempts)
+    .filter(({ runs }) => runs < maxAttempts)
     .map((shard) => hedgeAtMs(state, shard))
-    .filter((atMs) => atMs > nowMs && atMs < state.terms.deadlineAtMs);
+    .map((atMs) => (isRetry && atMs <= nowMs ? retryAtMs : atMs))
+    .filter((atMs) => atMs > nowMs && atMs < deadlineAtMs);
   return next.length === 0
     ? step(state)
     : step(state, { kind: "wake", timer: "hedge", atMs: Math.min(...next) });
--- a/request/request_core_test.ts
+++ b/request/request_core_test.ts
@@ -144,3 +144,15 @@
     t.same(withdrawn, [{ kind: "withdraw", attemptId: 2 }]);
   },
 );
+
+t.test("a second call that the budget refused is asked for again a little later", async (t) => {
+  const driver = new Driver(GATHER, { extraCalls: 0 });
+  driver.nowMs = 60;
+  const refused = driver.take({ kind: "timer", timer: "hedge" });
+  t.same(calls(refused), []);
+  const [wake] = refused.filter((effect) => effect.kind === "wake");
+  t.match(wake, { kind: "wake", timer: "hedge" });
+  driver.nowMs = wake?.kind === "wake" ? wake.atMs : 0;
+  driver.extraCalls = 2;
+  t.same(calls(driver.take({ kind: "timer", timer: "hedge" })), ["s1-b", "s2-b"]);
+});
