--- /dev/null
+++ b/calls/_leaf_call_harness.ts
@@ -0,0 +1,72 @@
+/**
+ * Calls to leafs on this machine, for tests.
+ *
+ * @module
+ */
+import type { Server } from "node:http";
+import type { Leaf } from "../leafs/mod.js";
+import { LEAF_HEADERS } from "../platform/mod.js";
+import type { AttemptOutcome } from "../request/mod.js";
+import type { LeafCall } from "./leaf_call.js";
+import { LeafCalls } from "./leaf_calls.js";
+
+export const LOOPBACK = "127.0.0.1";
+
+export function leafAt(port: number): Leaf {
+  return {
+    leafId: "i-1",
+    service: "s",
+    address: LOOPBACK,
+    port,
+    dataCentre: "a",
+    slots: 2,
+    draining: false,
+    warmingForMs: 0,
+  };
+}
+
+export function portOf(server: Pick<Server, "address">): number {
+  const bound = server.address();
+  return typeof bound === "object" && bound !== null ? bound.port : 0;
+}
+
+export function makeCalls(connections = 2): LeafCalls {
+  return new LeafCalls({
+    nowMs: () => performance.now(),
+    connectionsTo: () => connections,
+    onEnd: () => undefined,
+  });
+}
+
+/** What of a call matters to a test. */
+export interface CallOptions {
+  readonly requestId?: string;
+  readonly leftMs?: number;
+  readonly repeatable?: boolean;
+}
+
+export function leafCall(
+  port: number,
+  { requestId = "r1", leftMs = 1_000, repeatable = true }: CallOptions = {},
+): LeafCall {
+  return {
+    leaf: leafAt(port),
+    requestId,
+    method: "GET",
+    path: "/x",
+    headers: ["Host", "h", LEAF_HEADERS.requestId, requestId],
+    body: undefined,
+    repeatable,
+    deadlineAtMs: performance.now() + leftMs,
+  };
+}
+
+export function call(
+  calls: LeafCalls,
+  port: number,
+  options: CallOptions = {},
+): Promise<AttemptOutcome> {
+  return new Promise((resolve) => {
+    calls.send(leafCall(port, options), resolve);
+  });
+}
--- a/standins/fleet.ts
+++ b/standins/fleet.ts
@@ -5,14 +5,14 @@
  */
 import type { ServiceConfig, ShardMap } from "../model/mod.js";
 import type { PlatformFaults } from "../platform/standin/mod.js";
+import { daemonArgs, LOOPBACK } from "./_daemon_args.js";
 import { getJson, postJson, putJson } from "./json_http.js";
 import type { LeafStandinOptions } from "./leaf_standin.js";
 import { type FleetProcess, startProcess } from "./processes.js";
 import { type ServiceShape, sampleConfig, sampleLeafs, sampleShardMap } from "./sample_services.js";
 import { until } from "./waiting.js";
 
-/** Address that everything listens on. */
-export const LOOPBACK = "127.0.0.1";
+export { LOOPBACK } from "./_daemon_args.js";
 
 /** One box with its two daemons. */
 export interface FleetBox {
@@ -77,36 +77,17 @@
   }
 
   async #startBox(box: string, dataCentre: string): Promise<FleetBox> {
+    const { adviceKeepMs = 5_000, logLevel = "info" } = this.#options;
+    const platformUrl = `http://${LOOPBACK}:${this.platform.ports.port}`;
+    const seeds = this.boxes.map((each) => `${LOOPBACK}:${each.entry.ports.peerPort}`);
+    const args = daemonArgs({ box, dataCentre, platformUrl, seeds, adviceKeepMs, logLevel });
     const [entry, pool] = await Promise.all([
-      startProcess("bin/rackvale_entry.js", [...this.#args(box, dataCentre), "--caller-port", "0"]),
-      startProcess("bin/rackvale_pool.js", this.#args(box, dataCentre)),
+      startProcess("bin/rackvale_entry.js", [...args, "--caller-port", "0"]),
+      startProcess("bin/rackvale_pool.js", args),
     ]);
     return { box, dataCentre, entry, pool };
   }
 
-  #args(box: string, dataCentre: string): ReadonlyArray<string> {
-    const { adviceKeepMs = 5_000, logLevel = "info" } = this.#options;
-    const seeds = this.boxes.map((each) => `${LOOPBACK}:${each.entry.ports.peerPort}`);
-    return [
-      "--box",
-      box,
-      "--data-centre",
-      dataCentre,
-      "--address",
-      LOOPBACK,
-      "--peer-port",
-      "0",
-      "--platform",
-      `http://${LOOPBACK}:${this.platform.ports.port}`,
-      "--seeds",
-      seeds.join(","),
-      "--advice-keep-ms",
-      String(adviceKeepMs),
-      "--log-level",
-      logLevel,
-    ];
-  }
-
   /**
    * Starts one more box, in place of one with the same name if there is one.
    *
