Tell each call to the store that fails, with its time and the age of the last answer

Cause: the log of the incident says that the store was lost and regained, but not whether a box asked in between, nor when the call that failed had begun; that was to be had from the users' record alone, so the logs could not tell a watch that hung from a store that refused. Change: a line for each failed call (time taken, failures in a row, age of the last answer of that kind), a counter of ended lists and watches by outcome, a gauge of the answer's age by kind. The test on an outage now expects each failed call to be told (stricter than before). No decision changes. Ruled out as too coarse: the age in the request lines, which is that of any news.

--- a/box/box_knowledge.ts
+++ b/box/box_knowledge.ts
@@ -200,6 +200,11 @@
     return this.#health.isHeard;
   }
 
+  /** Age of the store's last answer in milliseconds, by kind of object that this box watches. */
+  get storeAnsweredAgoMs(): ReadonlyMap<string, number> {
+    return this.#health.answeredAgoMs();
+  }
+
   /** Drops the leafs whose entry did not come back in time. */
   dropOverdue(): void {
     this.#leafs.dropOverdue({ hearsStore: this.hearsStore });
--- a/box/box_shell.ts
+++ b/box/box_shell.ts
@@ -300,6 +300,10 @@
     const isWatcher = this.#life.isStopping || this.#view.watchesStore();
     this.#knowledge.setWatcher(isWatcher);
     this.#telemetry.storeCalls.set(this.#store.calls);
+    this.#telemetry.storeAnsweredAgoMs.reset();
+    for (const [kind, ageMs] of this.#knowledge.storeAnsweredAgoMs) {
+      this.#telemetry.storeAnsweredAgoMs.set({ kind }, ageMs);
+    }
   }
 }
 
--- a/box/box_telemetry.ts
+++ b/box/box_telemetry.ts
@@ -49,6 +49,8 @@
   readonly extraCalls: Tally;
   readonly relayedParts: Counter;
   readonly storeCalls: Gauge;
+  readonly storeAnswers: Counter<"kind" | "outcome">;
+  readonly storeAnsweredAgoMs: Gauge<"kind">;
   readonly linesDropped: Counter;
   /** Gives all metrics as text. */
   metricsText(): Promise<string>;
@@ -141,6 +143,18 @@
       help: "Calls to the platform's store since the start",
       registers,
     }),
+    storeAnswers: new Counter({
+      name: "rackvale_store_answers_total",
+      help: "Lists and watches of the platform's store that ended, by kind of object and outcome",
+      labelNames: ["kind", "outcome"],
+      registers,
+    }),
+    storeAnsweredAgoMs: new Gauge({
+      name: "rackvale_store_answered_ago_ms",
+      help: "Age of the store's last answer in milliseconds, by kind of object that this box watches",
+      labelNames: ["kind"],
+      registers,
+    }),
     linesDropped,
     metricsText: () => registry.metrics(),
     flush: () => {
--- a/box/registry_watch.ts
+++ b/box/registry_watch.ts
@@ -69,6 +69,15 @@
 /** Longest pause before the next list, in milliseconds. */
 const MOST_LIST_PAUSE_MS = 250;
 
+/** A call to the store that failed. */
+export interface FailedCall {
+  readonly error: StoreError;
+  /** Time from its beginning to its failure, in milliseconds: tells a call that waited from one refused. */
+  readonly tookMs: number;
+  /** Failures in a row, this one included. */
+  readonly failures: number;
+}
+
 /** Where the news of a kind goes. */
 export interface RegistryListener {
   /** Told of all objects after a list. */
@@ -79,9 +88,9 @@
   onHeard(): void;
   /** Told when changes were missed, so that all is listed anew. */
   onHistoryGone(): void;
-  /** Told when the store can no longer be heard, and why. */
-  onLost(error: StoreError): void;
-  /** Told when it can be heard again. */
+  /** Told of each call that failed; after the first the store counts as lost. */
+  onFailed(failed: FailedCall): void;
+  /** Told when the store can be heard again. */
   onRegained(): void;
 }
 
@@ -105,6 +114,7 @@
   #hasListed = false;
   #settledAtMs = 0;
   #isWanted = true;
+  #askedAtMs = 0;
   #onWanted: () => void = () => undefined;
 
   /**
@@ -125,6 +135,7 @@
         });
         continue;
       }
+      this.#askedAtMs = performance.now();
       const pauseMs = this.#revision === undefined ? await this.#list() : await this.#watch();
       if (pauseMs > 0) {
         await new Promise((resolve) => setTimeout(resolve, pauseMs));
@@ -198,9 +209,8 @@
 
   #fail(error: StoreError): number {
     this.#failures += 1;
-    if (this.#failures === 1) {
-      this.#listener.onLost(error);
-    }
+    const tookMs = Math.round(performance.now() - this.#askedAtMs);
+    this.#listener.onFailed({ error, tookMs, failures: this.#failures });
     return BACKOFF_MS[Math.min(this.#failures, BACKOFF_MS.length) - 1] ?? GATHER_MS;
   }
 
--- a/box/registry_watch_test.ts
+++ b/box/registry_watch_test.ts
@@ -32,7 +32,7 @@
       onChanges: ({ revision }) => heard.push(`changes to ${revision}`),
       onHeard: () => undefined,
       onHistoryGone: () => heard.push("history gone"),
-      onLost: () => heard.push("lost"),
+      onFailed: ({ failures }) => heard.push(failures === 1 ? "lost" : "not heard"),
       onRegained: () => heard.push("regained"),
     },
   );
@@ -70,9 +70,9 @@
   t.equal(watchWaitMs({ soundAfterMs: 4_000, newsDueMs: 3_000 }), 4_500);
 });
 
-t.test("an outage is told once when it begins and once when it ends", async (t) => {
+t.test("each failed call of an outage is told, and its end once", async (t) => {
   const { heard } = await runWatch([DOWN, DOWN, NOTHING]);
-  t.same(heard, ["list", "lost", "regained"]);
+  t.same(heard, ["list", "lost", "not heard", "regained"]);
 });
 
 t.test(
@@ -95,7 +95,7 @@
       { store, kind: "leafs", waitMs: 2_000, mayBeStale: true },
       {
         ...{ onList: silent, onChanges: silent, onHeard: silent },
-        ...{ onHistoryGone: silent, onLost: silent, onRegained: silent },
+        ...{ onHistoryGone: silent, onFailed: silent, onRegained: silent },
       },
     );
     watch.pause();
@@ -125,7 +125,7 @@
     { store, kind: "leafs", waitMs: 2_000, mayBeStale: true },
     {
       ...{ onList: silent, onChanges: silent, onHeard: silent },
-      ...{ onHistoryGone: silent, onLost: silent, onRegained: silent },
+      ...{ onHistoryGone: silent, onFailed: silent, onRegained: silent },
     },
   );
   await watch.run();
--- a/box/store_health.ts
+++ b/box/store_health.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { BoxTelemetry } from "./box_telemetry.js";
-import type { RegistryListener } from "./registry_watch.js";
+import type { FailedCall, RegistryListener } from "./registry_watch.js";
 
 /**
  * Time that a leaf's entry has to come back after an outage of the store, in milliseconds: entries
@@ -20,7 +20,7 @@
 
 /** What the health is made from. */
 export interface StoreHealthOptions {
-  readonly telemetry: Pick<BoxTelemetry, "event">;
+  readonly telemetry: Pick<BoxTelemetry, "event" | "storeAnswers">;
   readonly nowMs: () => number;
 }
 
@@ -29,6 +29,8 @@
   readonly #options: StoreHealthOptions;
   /** Kinds whose watch has lost the store. */
   readonly #lost = new Set<string>();
+  /** When the store last answered for a kind, on this box's clock. */
+  readonly #answeredAtMs = new Map<string, number>();
   #regainedAtMs = -Infinity;
   #heardAtMs = -Infinity;
 
@@ -55,6 +57,17 @@
     return !this.isHeard || sinceReturnMs < RETURN_MS ? REAPPEAR_MS : 0;
   }
 
+  /**
+   * Tells how old the store's last word is, by kind: one kind may be heard while another is not.
+   *
+   * @returns The age in milliseconds, by kind.
+   */
+  answeredAgoMs(): ReadonlyMap<string, number> {
+    const nowMs = this.#options.nowMs();
+    const entries = [...this.#answeredAtMs];
+    return new Map(entries.map(([kind, atMs]) => [kind, Math.round(nowMs - atMs)]));
+  }
+
   /** Notes news that came by another way. */
   noteHeard(): void {
     this.#heardAtMs = this.#options.nowMs();
@@ -67,6 +80,7 @@
    */
   forget(kind: string): void {
     this.#lost.delete(kind);
+    this.#answeredAtMs.delete(kind);
   }
 
   /**
@@ -83,11 +97,12 @@
     const { telemetry, nowMs } = this.#options;
     return {
       ...handlers,
-      onHeard: () => this.noteHeard(),
-      onLost: (error) => {
-        this.#lost.add(kind);
-        telemetry.event("warn", "store: lost", { kind, reason: error.message });
+      onHeard: () => {
+        this.noteHeard();
+        this.#answeredAtMs.set(kind, nowMs());
+        telemetry.storeAnswers.inc({ kind, outcome: "answered" });
       },
+      onFailed: (failed) => this.#noteFailed(kind, failed),
       onHistoryGone: () => telemetry.event("warn", "store: history gone, listing anew", { kind }),
       onRegained: () => {
         this.#lost.delete(kind);
@@ -96,4 +111,14 @@
       },
     };
   }
+
+  #noteFailed(kind: string, { error, tookMs, failures }: FailedCall): void {
+    const { telemetry } = this.#options;
+    telemetry.storeAnswers.inc({ kind, outcome: error.kind });
+    this.#lost.add(kind);
+    const answeredAgoMs = this.answeredAgoMs().get(kind) ?? null;
+    const fields = { kind, tookMs, failures, answeredAgoMs, reason: error.message };
+    const sentence = failures === 1 ? "store: lost" : "store: still not heard";
+    telemetry.event("warn", sentence, fields);
+  }
 }
--- /dev/null
+++ b/box/store_health_test.ts
@@ -0,0 +1,40 @@
+import t from "tap";
+import type { LogFields } from "./box_telemetry.js";
+import { StoreHealth } from "./store_health.js";
+
+t.test("failed calls are told with what they took and how old the last answer is", async (t) => {
+  let nowMs = 1_000;
+  const lines: Array<readonly [string, LogFields | undefined]> = [];
+  const counted: Array<unknown> = [];
+  const health = new StoreHealth({
+    nowMs: () => nowMs,
+    telemetry: {
+      event: (_level, sentence, fields) => lines.push([sentence, fields]),
+      storeAnswers: { inc: (labels: unknown) => counted.push(labels) } as never,
+    },
+  });
+  const unused = { onList: () => undefined, onChanges: () => undefined };
+  const leafs = health.listener("leafs", unused);
+  const routes = health.listener("routes", unused);
+  leafs.onHeard();
+  nowMs += 4_000;
+  routes.onHeard();
+  nowMs += 2_000;
+  const error = { kind: "unclear", message: "no answer" } as const;
+  leafs.onFailed({ error, tookMs: 6_000, failures: 1 });
+  leafs.onFailed({ error, tookMs: 700, failures: 2 });
+  const first = { kind: "leafs", tookMs: 6_000, failures: 1, answeredAgoMs: 6_000 };
+  t.same(lines, [
+    ["store: lost", { ...first, reason: "no answer" }],
+    ["store: still not heard", { ...first, tookMs: 700, failures: 2, reason: "no answer" }],
+  ]);
+  t.same(
+    [...health.answeredAgoMs()],
+    [
+      ["leafs", 6_000],
+      ["routes", 2_000],
+    ],
+  );
+  t.notOk(health.isHeard);
+  t.same(counted.at(-1), { kind: "leafs", outcome: "unclear" });
+});
