Look for a lost store by short calls, and end each watch before a change can be due

Cause: a watch begun while the store is silent is never answered, yet it was waited for 6 s, so that the boxes asked anew 5.4 s after the store's return; a watch on a connection gone silent lasts as long. The reckoning of a watch's length took the sum of the time after trouble and the time in which news is due; a change may come with the trouble's end, so it is the larger one. Ruled out: the store turning boxes away (its calls were answered), news passing slowly between boxes (all seven had it from the store itself, within 30 ms).

--- a/box/registry_watch.ts
+++ b/box/registry_watch.ts
@@ -15,7 +15,7 @@
  * Pause after a watch that brought changes, in milliseconds: changes that come close together share
  * the next call, as each has its price. Well below the time in which changes must be in force.
  */
-export const GATHER_MS = 500;
+const GATHER_MS = 500;
 
 /**
  * The same just after the store is heard again: entries that lapsed come back one after the other
@@ -26,7 +26,10 @@
 /** Time for which that holds, in milliseconds. */
 const SETTLE_MS = 3_000;
 
-/** Kept in hand between the latest moment at which a change is heard and the one it is due, in milliseconds. */
+/**
+ * Kept in hand between the latest moment at which a change is heard and the one it is due, in
+ * milliseconds: for the call that hears it and for telling the other boxes.
+ */
 const SLACK_MS = 500;
 
 /** Longest time that the store lets a watch wait, in milliseconds. */
@@ -35,6 +38,29 @@
 /** Shortest time that a watch waits, in milliseconds; less would only make calls. */
 const LEAST_WAIT_MS = 1_000;
 
+/**
+ * Time that the store has for its answer once a watch's time to wait is over, in milliseconds; one that
+ * is slowed sixtyfold answers in 240.
+ */
+export const WATCH_ANSWER_MS = 700;
+
+/** Pauses after failures in a row, in milliseconds. */
+const BACKOFF_MS = [100, 250, 500] as const;
+
+/** Time that a watch waits for a change while the store is lost, in milliseconds. */
+const LOOK_WAIT_MS = 100;
+
+/**
+ * Times that the store has for its answer to a list, and to a watch while it is lost, in milliseconds,
+ * by failures in a row. A call that began while the store was silent is not answered after its return,
+ * so that it must be given up soon to find the store within 2 s; every fourth waits longer, in case
+ * the store is slow.
+ */
+const LOOK_ANSWERS_MS = [700, 700, 700, STORE_ANSWER_MS] as const;
+
+/** Longest pause before the next list, in milliseconds. */
+const MOST_LIST_PAUSE_MS = 250;
+
 /** What the length of a watch depends on. */
 export interface WatchTerms {
   /** Time after the end of a disturbance from which a box must act in time again, in milliseconds. */
@@ -44,31 +70,20 @@
 }
 
 /**
- * Works out how long a watch may wait. One whose connection is cut without a word is noticed only
- * when its time and the time for an answer have passed. It began before the cut, and the first change
- * that the box must act on in time comes `soundAfterMs` after the cut's end at the earliest.
+ * Works out how long a watch may wait. One whose connection goes silent is noticed only when its time
+ * and the time for an answer have passed. It may have begun just before, and a change may come just
+ * after: that is due after `newsDueMs`, or when the box must act in time again where that is later.
+ * Reckoned with the sum of both, a change was in force on no box for 5.4 s.
  *
  * @param terms - What it depends on.
  * @returns The time, in milliseconds.
  */
 export function watchWaitMs({ soundAfterMs, newsDueMs }: WatchTerms): number {
-  const mostMs = soundAfterMs + newsDueMs - STORE_ANSWER_MS - GATHER_MS - SLACK_MS;
+  const dueMs = Math.max(soundAfterMs, newsDueMs);
+  const mostMs = dueMs - WATCH_ANSWER_MS - BACKOFF_MS[0] - SLACK_MS;
   return Math.min(MOST_WAIT_MS, Math.max(LEAST_WAIT_MS, mostMs));
 }
 
-/** Waits after failures in a row, in milliseconds; the store must be found within 2 s of its return. */
-const BACKOFF_MS = [100, 250, 500, 800] as const;
-
-/**
- * Times that the store has for the answer to a list, in milliseconds, by failures in a row. A box that
- * knows nothing yet can do nothing else, and a call that began while the store was silent is not
- * answered after its return; every fourth waits longer, in case the store is slow.
- */
-const LIST_ANSWERS_MS = [700, 700, 700, STORE_ANSWER_MS] as const;
-
-/** Longest pause before the next list, in milliseconds. */
-const MOST_LIST_PAUSE_MS = 250;
-
 /** A call to the store that failed. */
 export interface FailedCall {
   readonly error: StoreError;
@@ -173,7 +188,7 @@
     // Only the first list may be old: one after the history was lost must hold what the gap hid.
     const list = await store.list(kind, {
       mayBeStale: mayBeStale && !this.#hasListed,
-      answerMs: LIST_ANSWERS_MS[this.#failures % LIST_ANSWERS_MS.length] ?? STORE_ANSWER_MS,
+      answerMs: this.#lookAnswerMs(),
     });
     if (list.isErr()) {
       return Math.min(MOST_LIST_PAUSE_MS, this.#fail(list.error));
@@ -188,7 +203,11 @@
   async #watch(): Promise<number> {
     const { store, kind, waitMs } = this.#options;
     const sinceRevision = this.#revision ?? 0;
-    const changes = await store.watch(kind, { sinceRevision, waitMs });
+    const patience =
+      this.#failures === 0
+        ? { waitMs, answerMs: WATCH_ANSWER_MS }
+        : { waitMs: LOOK_WAIT_MS, answerMs: this.#lookAnswerMs() - LOOK_WAIT_MS };
+    const changes = await store.watch(kind, { sinceRevision, ...patience });
     if (changes.isErr()) {
       if (changes.error.kind === "historyGone") {
         this.#revision = undefined;
@@ -207,6 +226,10 @@
     return performance.now() < this.#settledAtMs ? SETTLE_GATHER_MS : GATHER_MS;
   }
 
+  #lookAnswerMs(): number {
+    return LOOK_ANSWERS_MS[this.#failures % LOOK_ANSWERS_MS.length] ?? STORE_ANSWER_MS;
+  }
+
   #fail(error: StoreError): number {
     this.#failures += 1;
     const tookMs = Math.round(performance.now() - this.#askedAtMs);
