Tests of calls to the store after a rest, red: a kept connection may be silent already

The product's own daemons look at the box list on a kept connection before each watch; where open connections go silent, the watch ends after 3.5 s, the look on the connection that rested takes 1.5 s more, and a pause follows.

--- a/fault_soak/store_news_test.ts
+++ b/fault_soak/store_news_test.ts
@@ -5,7 +5,9 @@
 // 2.5 s, and within 2 s of the end of a trouble.
 
 import t from "tap";
-import { BoxFleet, type PlatformBox } from "../platform/standin/mod.js";
+import { PlatformWatch } from "../daemon/platform_watch.js";
+import { platformClient } from "../platform/mod.js";
+import { BoxFleet, type PlatformBox, startPlatformStandin } from "../platform/standin/mod.js";
 import { pause, until } from "../standins/waiting.js";
 import { LinkProxy } from "./link_proxy.js";
 
@@ -14,6 +16,8 @@
 
 const ROUTE = { host: "h.example", timeoutMs: 2_000, targetLatencyMs: 400, priority: 1 } as const;
 
+const BOX = { box: "a", address: "127.0.0.1", dataCentre: "hall-a", leaving: false } as const;
+
 function configuration(version: number) {
   const name = `route-${version}`;
   const route = { ...ROUTE, name, pathPrefix: `/${name}/`, type: "safe", service: "ledger" };
@@ -78,3 +82,35 @@
   await pause(DUE_MS);
   t.ok(await hasRoute(fleet, box, 3), "the box has the new route");
 });
+
+t.test(
+  "the product's own daemons hear of a change as connections go silent, in time",
+  async (t) => {
+    const platform = await startPlatformStandin({ address: "127.0.0.1", port: 0 });
+    const link = new LinkProxy(platform.port);
+    const port = await link.open();
+    let version = 0;
+    const watch = new PlatformWatch(platformClient(`http://127.0.0.1:${port}`), {
+      nowMs: () => performance.now(),
+      send: (event) => {
+        version = event.kind === "platformAnswered" ? (event.boxList?.version ?? version) : version;
+      },
+    });
+    t.teardown(() => {
+      watch.enable(false);
+      link.close();
+      platform.close();
+    });
+    platform.setBoxes([]);
+    watch.enable(true);
+    await until(async () => version > 0, "the box list is known");
+    // A watch is under way then, and the connection of the look before it rests.
+    await pause(200);
+    link.silence();
+    const changedAtMs = performance.now();
+    const before = version;
+    platform.setBoxes([BOX]);
+    await until(async () => version > before, "the change is known");
+    t.ok(performance.now() - changedAtMs < 4_000);
+  },
+);
