--- a/box/registry_watch.ts
+++ b/box/registry_watch.ts
@@ -9,6 +9,7 @@
   type StoreClient,
   type StoreError,
   type StoreList,
+  WATCH_ANSWER_MS,
 } from "../platform/mod.js";
 
 /**
@@ -38,12 +39,6 @@
 /** Shortest time that a watch waits, in milliseconds; less would only make calls. */
 const LEAST_WAIT_MS = 1_000;
 
-/**
- * Time that the store has for its answer once a watch's time to wait is over, in milliseconds; one that
- * is slowed sixtyfold answers in 240.
- */
-export const WATCH_ANSWER_MS = 700;
-
 /** Pauses after failures in a row, in milliseconds. */
 const BACKOFF_MS = [100, 250, 500] as const;
 
--- a/box/registry_watch_test.ts
+++ b/box/registry_watch_test.ts
@@ -1,8 +1,8 @@
 import fc from "fast-check";
 import { err, ok } from "neverthrow";
 import t from "tap";
-import { STORE_ANSWER_MS, type StoreClient } from "../platform/mod.js";
-import { RegistryWatch, WATCH_ANSWER_MS, watchWaitMs } from "./registry_watch.js";
+import { STORE_ANSWER_MS, type StoreClient, WATCH_ANSWER_MS } from "../platform/mod.js";
+import { RegistryWatch, watchWaitMs } from "./registry_watch.js";
 
 type Store = Pick<StoreClient, "list" | "watch">;
 
--- a/daemon/platform_watch.ts
+++ b/daemon/platform_watch.ts
@@ -13,8 +13,11 @@
 /** Least time between two looks, so that no answer makes the watch spin, in milliseconds. */
 const LOOK_EVERY_MS = 100;
 
-/** Waits after failures in a row, in milliseconds. */
-const BACKOFF_MS = [200, 500, 1_000, 2_000] as const;
+/**
+ * Waits after failures in a row, in milliseconds. A look at a store that is still silent takes 1.5 s more,
+ * and changes are to be in force 4 s after they are taken.
+ */
+const BACKOFF_MS = [200, 500, 1_000] as const;
 
 /** What the watch needs. */
 export interface PlatformWatchOptions {
