--- a/box/peer_catch_up.ts
+++ b/box/peer_catch_up.ts
@@ -23,7 +23,7 @@
 export interface PeerCatchUpOptions {
   /** Name of this box. */
   readonly box: string;
-  readonly knowledge: Pick<BoxKnowledge, "isWatcher" | "progress" | "takeOver">;
+  readonly knowledge: Pick<BoxKnowledge, "hearsStore" | "isWatcher" | "progress" | "takeOver">;
   /** Tells whether a box is in this one's region. */
   readonly isNear: (member: Member) => boolean;
   /**
--- a/box/peer_catch_up_test.ts
+++ b/box/peer_catch_up_test.ts
@@ -19,14 +19,24 @@
   return sampleMember({ memberId: "peer", address: LOOPBACK, peerPort });
 }
 
-/** Has a box that does not watch the store hear of the peer; tells in which order things happened. */
-async function hearFrom(peer: Member, isNear: boolean): Promise<ReadonlyArray<string>> {
+/** How the box stands that hears of a peer. */
+interface Hearer {
+  readonly isNear: boolean;
+  readonly isWatcher?: boolean;
+  readonly hearsStore?: boolean;
+}
+
+/** Has a box hear of the peer; tells in which order things happened. */
+async function hearFrom(
+  peer: Member,
+  { isNear, isWatcher = false, hearsStore = true }: Hearer,
+): Promise<ReadonlyArray<string>> {
   const happened: Array<string> = [];
   await new Promise<void>((resolve) => {
     const catchUp = new PeerCatchUp({
       box: "self",
       knowledge: {
-        isWatcher: false,
+        ...{ isWatcher, hearsStore },
         progress: { configurationVersion: 1, leafsRevision: 5 },
         takeOver: ({ leafsRevision }) => {
           happened.push(`took over ${leafsRevision}`);
@@ -43,12 +53,25 @@
 
 t.test("news from another region is told on to the boxes near", async (t) => {
   const peer = await startPeer(t);
-  t.same(await hearFrom(peer, false), ["took over 7", "told the boxes near"]);
+  t.same(await hearFrom(peer, { isNear: false }), ["took over 7", "told the boxes near"]);
 });
 
 t.test("news from a box near is not told on, as the others near hear it as well", async (t) => {
   const peer = await startPeer(t);
-  t.same(await hearFrom(peer, true), ["took over 7"]);
+  t.same(await hearFrom(peer, { isNear: true }), ["took over 7"]);
+});
+
+// A box waited for the store to tell it what a peer near had told it already, also when the store was
+// lost to it and could not: 600 ms of the 3 s in which a leaf that drains must get no more work.
+t.test("a box that watches a lost store asks a peer near at once", async (t) => {
+  const peer = await startPeer(t);
+  const startedAtMs = performance.now();
+  const lost = { isNear: true, isWatcher: true, hearsStore: false };
+  t.same(await hearFrom(peer, lost), ["took over 7"]);
+  t.ok(performance.now() - startedAtMs < 400);
+  const heard = { isNear: true, isWatcher: true, hearsStore: true };
+  t.same(await hearFrom(peer, heard), ["took over 7"]);
+  t.ok(performance.now() - startedAtMs >= 600, "one that hears the store lets it come first");
 });
 
 t.test("news told while another fetch is under way is looked at after it", async (t) => {
@@ -60,7 +83,7 @@
     const catchUp = new PeerCatchUp({
       box: "self",
       knowledge: {
-        isWatcher: false,
+        ...{ isWatcher: false, hearsStore: true },
         get progress() {
           return { configurationVersion: 1, leafsRevision };
         },
