Ask a peer near at once for its news while the store is lost

Cause: a watching box let the store come first by 600 ms with what a peer had told it, though a lost store tells nothing. Change: it waits only while it hears the store; news from other regions still waits, as a box near may bring it sooner and for fewer bytes. Figures: peer_catch_up_test red before (over 600 ms), green now (under 400).

--- a/box/peer_catch_up.ts
+++ b/box/peer_catch_up.ts
@@ -64,7 +64,9 @@
       return;
     }
     this.#fetching = true;
-    const isExpected = knowledge.isWatcher || !this.#options.isNear(member);
+    // A store that is lost tells nothing, and waiting for it would cost a fifth of the time that news has.
+    const isStoreExpected = knowledge.isWatcher && knowledge.hearsStore;
+    const isExpected = isStoreExpected || !this.#options.isNear(member);
     setTimeout(
       () => {
         const fetched = isAhead(progress, knowledge.progress)
