Split what reads an order, what hands on a leaf's answer, and the making of the runner off their files

Change: the readers of orders and of leafs' answers, and the making of the box's runner, stand by themselves; the line's reader knows the line by what it tells it, so that no import runs in a circle. The gauges of the store are set by one call. No behaviour changes.

--- /dev/null
+++ b/box/_make_runner.ts
@@ -0,0 +1,42 @@
+/**
+ * Makes the runner of a box's requests: ties it to the queues told of, the budgets and the counters.
+ *
+ * @module
+ */
+import { noteLook, type QueueLooks, standingQueueMs } from "../admission/mod.js";
+import type { ExtraCallBudgets } from "../extra_calls/mod.js";
+import type { RunnerOptions } from "./_runner_options.js";
+import type { BoxTelemetry } from "./box_telemetry.js";
+import { RequestRunner } from "./request_runner.js";
+
+/** What the runner is tied to. */
+export interface MakeRunnerOptions
+  extends Omit<RunnerOptions, "noteQueue" | "creditRequest" | "takeExtraCall"> {
+  readonly budgets: ExtraCallBudgets;
+  readonly telemetry: Pick<BoxTelemetry, "extraCalls">;
+}
+
+/**
+ * Makes the runner.
+ *
+ * @param options - What it is tied to.
+ * @returns The runner.
+ */
+export function makeRunner({ budgets, telemetry, ...options }: MakeRunnerOptions): RequestRunner {
+  const { nowMs } = options;
+  const queueLooks = new Map<string, QueueLooks>();
+  return new RequestRunner({
+    ...options,
+    noteQueue: (index, queueMs) => {
+      const looks = noteLook(queueLooks.get(index) ?? [], { queueMs, atMs: nowMs() });
+      queueLooks.set(index, looks);
+      return standingQueueMs(looks);
+    },
+    creditRequest: (service) => budgets.credit(service),
+    takeExtraCall: (service, kind) => {
+      const allowed = budgets.take(service, kind);
+      telemetry.extraCalls.add(allowed ? kind : `${kind} refused`);
+      return allowed;
+    },
+  });
+}
--- a/box/box_shell.ts
+++ b/box/box_shell.ts
@@ -4,7 +4,6 @@
  * @module
  */
 import type { Server } from "node:http";
-import { noteLook, type QueueLooks, standingQueueMs } from "../admission/mod.js";
 import { LeafCalls } from "../calls/mod.js";
 import { ExtraCallBudgets } from "../extra_calls/mod.js";
 import { waitedMs } from "../latency/mod.js";
@@ -12,6 +11,7 @@
 import { type BoxSettings, StoreClient } from "../platform/mod.js";
 import { RelayCalls } from "../relay/mod.js";
 import { listen } from "./_listen.js";
+import { makeRunner } from "./_make_runner.js";
 import { BoxKnowledge } from "./box_knowledge.js";
 import { BoxLife } from "./box_life.js";
 import { type BoxReport, reportBox } from "./box_report.js";
@@ -23,7 +23,7 @@
 import { watchWaitMs } from "./registry_watch.js";
 import { RelayPlaces } from "./relay_places.js";
 import { RequestIntake } from "./request_intake.js";
-import { RequestRunner } from "./request_runner.js";
+import type { RequestRunner } from "./request_runner.js";
 import { type CompiledPolicies, RoutePolicies } from "./route_policies.js";
 import { selfMember } from "./self_member.js";
 import { type MetricsPlace, type ServerAtPort, sideServers } from "./side_servers.js";
@@ -59,7 +59,6 @@
   readonly #calls: LeafCalls;
   readonly #relays = new RelayCalls({ nowMs, waitedMs });
   readonly #budgets: ExtraCallBudgets;
-  readonly #queueLooks = new Map<string, QueueLooks>();
   readonly #runner: RequestRunner;
   readonly #fleet: FleetLink;
   readonly #callerServer: Server;
@@ -120,24 +119,15 @@
       regionOf: (dataCentre) => settings.regions.get(dataCentre) ?? dataCentre,
       servingBoxes: (region) => this.#view.servingBoxes(region),
     });
-    this.#runner = new RequestRunner({
+    this.#runner = makeRunner({
       nowMs,
       waitedMs,
       calls: this.#calls,
       leafs: () => this.#knowledge.leafs,
       places,
       relays: this.#relays,
-      noteQueue: (index, queueMs) => {
-        const looks = noteLook(this.#queueLooks.get(index) ?? [], { queueMs, atMs: nowMs() });
-        this.#queueLooks.set(index, looks);
-        return standingQueueMs(looks);
-      },
-      creditRequest: (service) => this.#budgets.credit(service),
-      takeExtraCall: (service, kind) => {
-        const allowed = this.#budgets.take(service, kind);
-        telemetry.extraCalls.add(allowed ? kind : `${kind} refused`);
-        return allowed;
-      },
+      budgets: this.#budgets,
+      telemetry,
     });
     const isNear = ({ dataCentre }: Member): boolean => places.isNear(dataCentre);
     const knowledge = this.#knowledge;
@@ -299,11 +289,8 @@
     // One that leaves is told of nothing any more and goes on by itself.
     const isWatcher = this.#life.isStopping || this.#view.watchesStore();
     this.#knowledge.setWatcher(isWatcher);
-    this.#telemetry.storeCalls.set(this.#store.calls);
-    this.#telemetry.storeAnsweredAgoMs.reset();
-    for (const [kind, ageMs] of this.#knowledge.storeAnsweredAgoMs) {
-      this.#telemetry.storeAnsweredAgoMs.set({ kind }, ageMs);
-    }
+    const answeredAgoMs = this.#knowledge.storeAnsweredAgoMs;
+    this.#telemetry.noteStore({ calls: this.#store.calls, answeredAgoMs });
   }
 }
 
--- a/box/box_telemetry.ts
+++ b/box/box_telemetry.ts
@@ -37,6 +37,14 @@
   add(label: string): void;
 }
 
+/** What a box has of the platform's store. */
+export interface StoreView {
+  /** Calls to it since the start. */
+  readonly calls: number;
+  /** Age of its last answer in milliseconds, by kind of object that the box watches. */
+  readonly answeredAgoMs: ReadonlyMap<string, number>;
+}
+
 /** What a box tells of itself. */
 export interface BoxTelemetry {
   /** Writes a line, whatever the volume: starts, stops, what is lost and regained. */
@@ -48,9 +56,9 @@
   readonly attempts: Tally;
   readonly extraCalls: Tally;
   readonly relayedParts: Counter;
-  readonly storeCalls: Gauge;
   readonly storeAnswers: Counter<"kind" | "outcome">;
-  readonly storeAnsweredAgoMs: Gauge<"kind">;
+  /** Shows what this box has of the store now. */
+  noteStore(store: StoreView): void;
   readonly linesDropped: Counter;
   /** Gives all metrics as text. */
   metricsText(): Promise<string>;
@@ -138,23 +146,13 @@
       help: "Parts that this box got and merged for boxes of other regions",
       registers,
     }),
-    storeCalls: new Gauge({
-      name: "rackvale_store_calls",
-      help: "Calls to the platform's store since the start",
-      registers,
-    }),
     storeAnswers: new Counter({
       name: "rackvale_store_answers_total",
       help: "Lists and watches of the platform's store that ended, by kind of object and outcome",
       labelNames: ["kind", "outcome"],
       registers,
     }),
-    storeAnsweredAgoMs: new Gauge({
-      name: "rackvale_store_answered_ago_ms",
-      help: "Age of the store's last answer in milliseconds, by kind of object that this box watches",
-      labelNames: ["kind"],
-      registers,
-    }),
+    noteStore: storeGauges(registers),
     linesDropped,
     metricsText: () => registry.metrics(),
     flush: () => {
@@ -167,6 +165,27 @@
   };
 }
 
+function storeGauges(registers: Array<Registry>): BoxTelemetry["noteStore"] {
+  const storeCalls = new Gauge({
+    name: "rackvale_store_calls",
+    help: "Calls to the platform's store since the start",
+    registers,
+  });
+  const storeAnsweredAgoMs = new Gauge({
+    name: "rackvale_store_answered_ago_ms",
+    help: "Age of the store's last answer in milliseconds, by kind of object that this box watches",
+    labelNames: ["kind"],
+    registers,
+  });
+  return ({ calls, answeredAgoMs }) => {
+    storeCalls.set(calls);
+    storeAnsweredAgoMs.reset();
+    for (const [kind, ageMs] of answeredAgoMs) {
+      storeAnsweredAgoMs.set({ kind }, ageMs);
+    }
+  };
+}
+
 interface TallyOptions {
   readonly name: string;
   readonly help: string;
--- a/calls/_answer_reader.ts
+++ b/calls/_answer_reader.ts
@@ -11,8 +11,8 @@
   isAnswerTo,
 } from "../platform/mod.js";
 import type { AnswerHeaders, AttemptOutcome } from "../request/mod.js";
+import type { WaitingCall } from "./_releasing_handler.js";
 import type { LeafCall } from "./leaf_call.js";
-import type { WaitingCall } from "./leaf_line.js";
 
 /** Why a call ended that this box took back. */
 export const ABANDONED = "abandoned";
--- a/calls/leaf_line.ts
+++ b/calls/leaf_line.ts
@@ -3,22 +3,10 @@
  *
  * @module
  */
-import type { Dispatcher } from "undici";
 import type { SocketAddress } from "../platform/mod.js";
+import { ReleasingHandler, type WaitingCall } from "./_releasing_handler.js";
 import { LeafConnection } from "./leaf_connection.js";
 
-/** A call that is handed to a connection when one is free. */
-export interface WaitingCall extends Dispatcher.DispatchHandler {
-  /** Whether it is of no more use and is to be passed over. */
-  readonly isEnded: boolean;
-  /** Whether it may be sent again if its connection turns out to be gone. */
-  readonly isRepeatable: boolean;
-  /** Makes the request, with the time that is left at this moment. */
-  options(): Dispatcher.DispatchOptions;
-  /** Told when no connection could be opened for it: nothing was sent. */
-  onNoConnection(): void;
-}
-
 /**
  * Time after a connection was turned away in which no other is opened beside those that are up, in
  * milliseconds; well below the time in which a leaf lets old connections go.
@@ -252,56 +240,3 @@
     }
   }
 }
-
-/** Hands an answer on, and the connection back once the answer has ended. */
-class ReleasingHandler implements Dispatcher.DispatchHandler {
-  readonly #call: WaitingCall;
-  readonly #connection: LeafConnection;
-  readonly #line: LeafLine;
-
-  constructor(call: WaitingCall, connection: LeafConnection, line: LeafLine) {
-    this.#call = call;
-    this.#connection = connection;
-    this.#line = line;
-  }
-
-  onRequestStart(controller: Dispatcher.DispatchController, context: unknown): void {
-    this.#call.onRequestStart?.(controller, context);
-  }
-
-  onResponseStart(
-    controller: Dispatcher.DispatchController,
-    statusCode: number,
-    headers: Parameters<NonNullable<WaitingCall["onResponseStart"]>>[2],
-  ): void {
-    this.#connection.noteHeard();
-    this.#line.noteHeard();
-    this.#call.onResponseStart?.(controller, statusCode, headers);
-  }
-
-  onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
-    this.#call.onResponseData?.(controller, chunk);
-  }
-
-  onResponseEnd(
-    controller: Dispatcher.DispatchController,
-    trailers: Parameters<NonNullable<WaitingCall["onResponseEnd"]>>[1],
-  ): void {
-    this.#release();
-    if (this.#connection.isBroken) {
-      this.#call.onResponseError?.(controller, new Error("connection was reset"));
-    } else {
-      this.#call.onResponseEnd?.(controller, trailers);
-    }
-  }
-
-  onResponseError(controller: Dispatcher.DispatchController, error: Error): void {
-    this.#release();
-    this.#call.onResponseError?.(controller, error);
-  }
-
-  /** A moment later, as undici frees the connection only after its handler has returned. */
-  #release(): void {
-    queueMicrotask(() => this.#line.release(this.#connection));
-  }
-}
--- a/relay/mod.ts
+++ b/relay/mod.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+export type { RelayListener } from "./_order_reader.js";
 export type { RelayServerOptions } from "./_relay.js";
 export * from "./relay_calls.js";
 export * from "./relay_order.js";
--- a/relay/relay_calls.ts
+++ b/relay/relay_calls.ts
@@ -3,13 +3,12 @@
  *
  * @module
  */
-import { type Dispatcher, Pool } from "undici";
+import { Pool } from "undici";
 import type { OpenCall } from "../calls/mod.js";
 import { isSilent, type LeafCondition, NEW_CONDITION, noteEnded, noteSent } from "../leafs/mod.js";
 import type { Member } from "../model/mod.js";
-import type { RelayedParts } from "../request/mod.js";
-import { RelayedReader } from "./relay_frames.js";
-import { encodeOrder, type RelayOrder, servicesOf } from "./relay_order.js";
+import { OrderReader, type RelayListener } from "./_order_reader.js";
+import { encodeOrder, type RelayOrder } from "./relay_order.js";
 import { RELAY_PATH } from "./relay_server.js";
 
 /** Connections to one other box; each carries one order at a time. */
@@ -34,13 +33,6 @@
 /** Time after its deadline at which an order is broken off, in milliseconds. */
 const OVERDUE_MS = 100;
 
-/** Told what comes of an order. */
-export interface RelayListener {
-  onParts(parts: RelayedParts): void;
-  /** Told once when nothing more will come. */
-  onEnd(): void;
-}
-
 /** A box that can be asked. */
 export interface ChosenBox {
   readonly member: Member;
@@ -220,104 +212,3 @@
     ? nowMs + order.patienceMs + SILENT_MS
     : nowMs + order.leftMs + OVERDUE_MS;
 }
-
-type Noted = "answered" | "failed" | "abandoned";
-
-/** Told what becomes of an order, beside the one who gave it. */
-interface OrderWatcher {
-  /** Told once whether the box answers. */
-  onNoted(result: Noted): void;
-  /** Told how long calls wait at the leafs near the box, in milliseconds, when it answers first. */
-  onQueue(queueMs: number): void;
-  /** Told once when the order is over. */
-  onEnded(): void;
-}
-
-/** Reads the frames of one order; the box counts as answering from its first one on. */
-class OrderReader implements Dispatcher.DispatchHandler {
-  readonly #listener: RelayListener;
-  readonly #watcher: OrderWatcher;
-  readonly #frames: RelayedReader;
-  #controller: Dispatcher.DispatchController | undefined;
-  #noted = false;
-  #ended = false;
-
-  constructor(order: RelayOrder, listener: RelayListener, watcher: OrderWatcher) {
-    this.#listener = listener;
-    this.#watcher = watcher;
-    this.#frames = new RelayedReader(servicesOf(order));
-  }
-
-  /** Whether the box has answered anything. */
-  get isHeard(): boolean {
-    return this.#noted;
-  }
-
-  /** Ends the order for the one who gave it. */
-  abandon(): void {
-    this.#noteOnce("abandoned");
-    this.#close();
-    this.#controller?.abort(new Error("abandoned"));
-  }
-
-  /** Ends the order because nothing more is to be expected of its connection. */
-  breakOff(): void {
-    this.#noteOnce("failed");
-    this.#end();
-    this.#controller?.abort(new Error("broken off"));
-  }
-
-  onRequestStart(controller: Dispatcher.DispatchController): void {
-    this.#controller = controller;
-    if (this.#ended) {
-      controller.abort(new Error("abandoned"));
-    }
-  }
-
-  onResponseStart(): void {
-    // The frames tell all there is.
-  }
-
-  onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
-    for (const parts of this.#frames.read(chunk)) {
-      if (!this.#noted) {
-        this.#watcher.onQueue(parts.queueMs ?? 0);
-      }
-      this.#noteOnce("answered");
-      this.#listener.onParts(parts);
-    }
-  }
-
-  onResponseEnd(): void {
-    this.#noteOnce("answered");
-    this.#end();
-  }
-
-  onResponseError(): void {
-    this.#noteOnce("failed");
-    this.#end();
-  }
-
-  #noteOnce(result: Noted): void {
-    if (!this.#noted) {
-      this.#noted = true;
-      this.#watcher.onNoted(result);
-    }
-  }
-
-  #end(): void {
-    if (this.#close()) {
-      this.#listener.onEnd();
-    }
-  }
-
-  /** Tells whether it was open until now. */
-  #close(): boolean {
-    const wasOpen = !this.#ended;
-    this.#ended = true;
-    if (wasOpen) {
-      this.#watcher.onEnded();
-    }
-    return wasOpen;
-  }
-}
