Fault soak: configurations in force in time, and changes as the store returns

Cause: the soak added the time after trouble to the time in which news is due, as the code did, checked no configuration for being in force in time, and wrote none as the store came back, so that it could not see what the incident showed. Change: the two times are no sum (stricter for draining leafs too); each request on a version's route is judged by when it was sent; a store that returns takes a change at once; a new kind, the connections of all boxes to the store go silent, with a change.

--- a/fault_soak/fault_handlers.ts
+++ b/fault_soak/fault_handlers.ts
@@ -29,6 +29,7 @@
   "storeForgets",
   "boxCutFromStore",
   "storeConnectionsSilent",
+  "allStoreConnectionsSilent",
   "boxPaused",
   "boxKilled",
   "boxStopped",
@@ -102,11 +103,19 @@
     hit?.storeLink.reset();
     return hit !== undefined;
   },
-  storeConnectionsSilent: async ({ boxes }, { target }) => {
-    const hit = pick(boxes, target);
+  storeConnectionsSilent: async (soak, { target }) => {
+    const hit = pick(soak.boxes, target);
     hit?.storeLink.silence();
+    soak.changeConfiguration();
     return hit !== undefined;
   },
+  allStoreConnectionsSilent: async (soak) => {
+    for (const { storeLink } of soak.boxes) {
+      storeLink.silence();
+    }
+    soak.changeConfiguration();
+    return true;
+  },
   boxPaused: onBox(async ({ box }, forMs) => {
     box.process.signal("SIGSTOP");
     await pause(forMs);
@@ -146,11 +155,13 @@
   };
 }
 
+/** The store takes what operators wanted to change meanwhile as soon as it is back. */
 function onStore(mode: "silent" | "down"): FaultHandler {
-  return async ({ fleet }, { forMs }) => {
-    fleet.platform.setFaults({ mode });
+  return async (soak, { forMs }) => {
+    soak.fleet.platform.setFaults({ mode });
     await pause(forMs);
-    fleet.platform.setFaults({ mode: "up" });
+    soak.fleet.platform.setFaults({ mode: "up" });
+    soak.changeConfiguration();
     return true;
   };
 }
--- a/fault_soak/fault_plan.ts
+++ b/fault_soak/fault_plan.ts
@@ -26,6 +26,7 @@
   "boxKilled",
   "boxStopped",
   "configurationChanged",
+  "allStoreConnectionsSilent",
 ] as const;
 
 /** A kind of fault. */
--- a/fault_soak/promises.ts
+++ b/fault_soak/promises.ts
@@ -30,12 +30,21 @@
   readonly box: SoakBox;
   /** Which of the box's processes it was sent to. */
   readonly life: number;
+  /** When it was sent, on this process's clock, in milliseconds. */
+  readonly sentAtMs: number;
   /** Whether the box was in the course of a planned stop, and nothing else, when it ended. */
   readonly duringStop: boolean;
   /** Nothing where the connection ended without an answer. */
   readonly response: CallerResponse | undefined;
 }
 
+/** A request on the route that one version of the configuration added, and whether it had the route. */
+interface VersionRequest {
+  readonly seen: SeenRequest;
+  readonly version: number;
+  readonly isServed: boolean;
+}
+
 /** A time in which boxes or the store were disturbed, on this process's clock, in milliseconds. */
 export interface Disturbance {
   readonly fromMs: number;
@@ -48,6 +57,7 @@
   readonly #notRun: Array<string> = [];
   readonly #cut: Array<SeenRequest> = [];
   readonly #shownVersion = new Map<string, number>();
+  readonly #versionRequests: Array<VersionRequest> = [];
   readonly broken: Array<string> = [];
   readonly checked: Record<string, number> = {};
 
@@ -91,6 +101,7 @@
   judgeEnd(disturbances: ReadonlyArray<Disturbance>): void {
     this.#judgeRuns();
     this.#judgeDraining(disturbances);
+    this.#judgeInForce(disturbances);
   }
 
   #check(promise: string, holds: boolean, detail: () => string): void {
@@ -133,11 +144,15 @@
     return signature.requestId === requestId ? found?.service : undefined;
   }
 
-  #judgeVersion({ box, life, path, requestId }: SeenRequest, statusCode: number): void {
+  #judgeVersion(seen: SeenRequest, statusCode: number): void {
+    const { box, life, path, requestId } = seen;
     const version = Number(/^\/version-(\d+)\/$/.exec(path)?.[1] ?? Number.NaN);
     if (Number.isNaN(version)) {
       return;
     }
+    if (statusCode !== 503) {
+      this.#versionRequests.push({ seen, version, isServed: statusCode !== 404 });
+    }
     const key = `${box.box.name}/${life}`;
     const shown = this.#shownVersion.get(key) ?? 0;
     if (statusCode === 404) {
@@ -186,15 +201,29 @@
       }
     }
   }
+
+  #judgeInForce(disturbances: ReadonlyArray<Disturbance>): void {
+    for (const { seen, version, isServed } of this.#versionRequests) {
+      const dueMs = newsDueAtMs(this.#soak.changedAtMs(version), disturbances);
+      const holds = isServed || seen.sentAtMs <= dueMs;
+      this.#check("a configuration is in force in time", holds, () => {
+        const lateMs = Math.round(seen.sentAtMs - dueMs);
+        return `${seen.box.box.name} has no version ${version} ${lateMs} ms after it is due`;
+      });
+    }
+  }
 }
 
-/** Moment at which news must be acted on: each disturbance that comes before it puts it off. */
+/**
+ * Moment at which news must be acted on: each disturbance that comes before it puts it off, until boxes
+ * must act in time again. What came before that is due then; the two times do not add up.
+ */
 function newsDueAtMs(atMs: number, disturbances: ReadonlyArray<Disturbance>): number {
   let dueMs = atMs + NEWS_DUE_MS;
   for (const { fromMs, untilMs } of disturbances.toSorted((a, b) => a.fromMs - b.fromMs)) {
     const soundAtMs = untilMs + SOUND_AFTER_MS;
     if (fromMs < dueMs && soundAtMs > atMs) {
-      dueMs = Math.max(dueMs, soundAtMs + NEWS_DUE_MS);
+      dueMs = Math.max(dueMs, soundAtMs);
     }
   }
   return dueMs;
--- a/fault_soak/soak_callers.ts
+++ b/fault_soak/soak_callers.ts
@@ -65,12 +65,13 @@
   async ask(box: SoakBox, path: string): Promise<number | undefined> {
     const requestId = `request-${this.#nextId++}`;
     const { life } = box;
+    const sentAtMs = performance.now();
     const method = path === `/${LEDGER}/` ? "POST" : "GET";
     const request = { path, requestId, method, host: HOST, deadlineMs: DEADLINE_MS } as const;
     const response = await this.#soak.fleet.ask(box.box, request).catch(() => undefined);
     // A process that a kill or a pause hit as well is not held to what a planned stop promises.
     const duringStop = box.isStopping && box.life === life;
-    this.#promises.see({ requestId, path, box, life, duringStop, response });
+    this.#promises.see({ requestId, path, box, life, sentAtMs, duringStop, response });
     const status = String(response?.statusCode ?? "no answer");
     this.statuses[status] = (this.statuses[status] ?? 0) + 1;
     return response?.statusCode;
--- a/fault_soak/soak_fleet.ts
+++ b/fault_soak/soak_fleet.ts
@@ -62,7 +62,8 @@
   readonly leafs: Array<SoakLeaf> = [];
   /** Every leaf there ever was, so that runs of those that are gone count too. */
   readonly allLeafs: Array<SoakLeaf> = [];
-  #version = 0;
+  /** When each version of the configuration was written, the first at 0; on this process's clock. */
+  readonly #changedAtMs: Array<number> = [];
   #leafCount = 0;
 
   private constructor(fleet: BoxFleet) {
@@ -92,13 +93,23 @@
 
   /** Version of the newest configuration. */
   get version(): number {
-    return this.#version;
+    return this.#changedAtMs.length;
   }
 
   /** Writes the next configuration, which has one more route: `/version-N/`. */
   changeConfiguration(): void {
-    this.#version += 1;
-    this.fleet.configure(configuration(this.#version));
+    this.#changedAtMs.push(performance.now());
+    this.fleet.configure(configuration(this.version));
+  }
+
+  /**
+   * Tells when a configuration was written.
+   *
+   * @param version - Its version.
+   * @returns The moment on this process's clock, in milliseconds.
+   */
+  changedAtMs(version: number): number {
+    return this.#changedAtMs[version - 1] ?? Number.POSITIVE_INFINITY;
   }
 
   /**
