--- a/box/fleet_messages_test.ts
+++ b/box/fleet_messages_test.ts
@@ -1,4 +1,5 @@
 import { deflateRawSync } from "node:zlib";
+import fc from "fast-check";
 import t from "tap";
 import type { Member } from "../model/mod.js";
 import { decodeFleetMessage, encodeFleetMessage, type FleetMessage } from "./fleet_messages.js";
@@ -47,3 +48,15 @@
     t.equal(decodeFleetMessage(data), undefined);
   }
 });
+
+t.test("bytes that are no message are turned away, never thrown at", async () => {
+  const json = fc.json().map((text) => deflateRawSync(text));
+  const bytes = fc.uint8Array({ maxLength: 400 }).map((data) => Buffer.from(data));
+  fc.assert(
+    fc.property(fc.oneof(bytes, json), (data) => {
+      const message = decodeFleetMessage(data);
+      return message === undefined || Array.isArray(message.members);
+    }),
+    { numRuns: 3_000, seed: 738 },
+  );
+});
