Answer what is still open before a planned stop ends the process

Cause: a box ended 250 ms before the end of its grace whatever was open; a request that a silent leaf held lost its connection without an answer, though its process had read it and sent it on. Change: before the end each request that runs gets the answer that it would get at its deadline: what is known by then, 504 where a leaf may have run it, 503 where none can have. Ruled out: ending sooner to take fewer such requests, as callers' advice has run out only then.

--- a/box/box_shell.ts
+++ b/box/box_shell.ts
@@ -249,10 +249,11 @@
   }
 
   #end(): void {
+    const open = this.#runner.answerAll();
     clearInterval(this.#tidyTimer);
     this.#knowledge.stop();
     this.#fleet.stop();
-    this.#telemetry.event("info", "box: stopped", { open: this.#runner.runningCount });
+    this.#telemetry.event("info", "box: stopped", { open });
     void this.#telemetry.flush().then(() => this.#onEnd());
   }
 
--- a/box/request_runner.ts
+++ b/box/request_runner.ts
@@ -57,12 +57,14 @@
 export interface RunningRequest {
   /** Stops all work, since the caller has gone. */
   callerGone(): void;
+  /** Gives the final answer by what is known now, as at its deadline. */
+  answerNow(): void;
 }
 
 /** Runs requests. */
 export class RequestRunner {
   readonly #options: RunnerOptions;
-  #running = 0;
+  readonly #running = new Set<RunningRequest>();
 
   /**
    * @param options - What the runner needs of its box.
@@ -73,7 +75,21 @@
 
   /** Requests that have no answer yet. */
   get runningCount(): number {
-    return this.#running;
+    return this.#running.size;
+  }
+
+  /**
+   * Gives all requests that run their final answers, as the process is about to end. A silent leaf may
+   * hold some to their deadline; with the process their connections would end without an answer.
+   *
+   * @returns How many they were.
+   */
+  answerAll(): number {
+    const open = [...this.#running];
+    for (const request of open) {
+      request.answerNow();
+    }
+    return open.length;
   }
 
   /**
@@ -83,13 +99,11 @@
    * @returns The running request.
    */
   run(options: RunOptions): RunningRequest {
-    this.#running += 1;
     for (const service of options.services) {
       this.#options.creditRequest(service);
     }
-    const run = new Run(options, this.#options, () => {
-      this.#running -= 1;
-    });
+    const run = new Run(options, this.#options, () => this.#running.delete(run));
+    this.#running.add(run);
     run.take({ kind: "started" });
     return run;
   }
@@ -144,6 +158,10 @@
     }
   }
 
+  answerNow(): void {
+    this.take({ kind: "timer", timer: "deadline" });
+  }
+
   take(event: RequestEvent): void {
     const wasDone = this.#state.done;
     this.#world.nowMs = this.#box.nowMs();
