--- a/bench/play_days.ts
+++ b/bench/play_days.ts
@@ -1,8 +1,8 @@
 /**
- * Plays the days of `bench/days` on the users' bench, one after the other or a few at a time, and
+ * Plays the days of `bench/days` by a program that plays days, one after the other or a few at a time, and
  * prints a table: each kind of trouble, and pairs of kinds that meet.
  *
- *     npm run days -- --program PATH-OF-THE-BENCH --site SITE-FILE [--only TEXT] [--jobs 3]
+ *     npm run days -- --program PATH --site SITE-FILE [--only TEXT] [--jobs 3]
  *
  * @module
  */
@@ -14,7 +14,7 @@
 const USAGE = "Usage: npm run days -- --program PATH --site FILE [--only TEXT] [--jobs N]";
 
 const SPECS = {
-  program: { kind: "text", help: "The users' bench" },
+  program: { kind: "text", help: "The program that plays a day" },
   site: { kind: "text", help: "Site file to play the days on" },
   only: { kind: "text", help: "Plays only days whose name holds this text", fallback: "" },
   jobs: { kind: "number", help: "Days played at a time", fallback: "3", least: 1, most: 8 },
