Tests of leafs that start again under their id, and of entries of other writers, red

Cause: the wire has two new facts: a leaf may start again under the id it had, told apart by the moment of its start, and any entry may come from another writer. Read and run on the landed code: 10 of 16 spoiled entries were taken for leafs; a leaf whose entry could no longer be read was used on, also by peers; a leaf back at another address was dialled at the old one (the test over processes waited 30 s in vain); one that had said once that it is gone was never asked again.

--- a/calls/_leaf_call_harness.ts
+++ b/calls/_leaf_call_harness.ts
@@ -39,6 +39,17 @@
   });
 }
 
+/**
+ * Says which leafs there are from now on.
+ *
+ * @param calls - The calls.
+ * @param leafs - The leafs.
+ */
+export function learn(calls: LeafCalls, leafs: ReadonlyArray<Leaf>): void {
+  const ids = new Set(leafs.map(({ leafId }) => leafId));
+  calls.forgetUnknown((leafId) => ids.has(leafId));
+}
+
 /** What of a call matters to a test. */
 export interface CallOptions {
   readonly requestId?: string;
