Tell the lives of a leaf apart, and take no entry of another writer for a leaf

Cause: what was learnt of a leaf was kept by its id, which it may keep over a new start; entries were read with defaults for what is missing, and those that cannot be read counted as no change (in a list as missing, with grace), so that the leaf was used on, here and by peers.

Change: an entry must be whole; one that is there but cannot be read drops its leaf at once and is told to peers as removed. Entries carry the leaf's start and the store's revision: of two the later holds, whatever lists or peers bring. A new start (or another address) ends all that was kept of the former life: connections, latency, losses, silence, told load, having said it is gone. Leafs that only other boxes asked left their condition behind for good: forgotten now with the leaf. A line of the log tells new lives, one the entries passed over, each with 20 names at most.

Test entries that were not whole (no version, no warm-up) are whole now.

--- a/box/box_shell.ts
+++ b/box/box_shell.ts
@@ -94,7 +94,7 @@
       nowMs,
       onConfiguration: () => this.#configured(),
       onLeafs: () => {
-        this.#calls.forgetUnknown((leafId) => this.#knowledge.leafs.byId.has(leafId));
+        this.#calls.setKnown(this.#knowledge.leafs.byId);
         this.#learned();
       },
     });
--- a/box/leaf_registry.ts
+++ b/box/leaf_registry.ts
@@ -7,6 +7,7 @@
   applyLeafChanges,
   applyLeafList,
   dropOverdueLeafs,
+  isSameLife,
   type Leaf,
   type LeafTable,
   NO_LEAFS,
@@ -24,6 +25,9 @@
 /** Leafs that a log line names at most. */
 const MOST_NAMED = 20;
 
+/** Signs of a strange entry's name that a log line holds at most; leafs' ids have some ten. */
+const MOST_NAME_CHARS = 40;
+
 /** What the registry is made from. */
 export interface LeafRegistryOptions {
   readonly telemetry: Pick<BoxTelemetry, "event">;
@@ -67,9 +71,10 @@
    */
   takeList({ objects, revision }: StoreList): void {
     if (revision >= this.#revision) {
-      const leafs = this.#decode(objects);
+      const { leafs, unreadable } = this.#decode(objects);
       this.news.restart(revision);
-      this.#set(applyLeafList(this.#table, leafs, this.#removal()), revision);
+      const options = { ...this.#removal(), unreadable };
+      this.#set(applyLeafList(this.#table, leafs, options), revision);
     }
   }
 
@@ -80,9 +85,13 @@
    */
   takeChanges({ changed, removed, revision }: StoreChanges): void {
     if (revision > this.#revision) {
-      const leafs = this.#decode(changed);
-      this.news.note({ changed: changed.map(({ name }) => name), removed, revision });
-      const changes = { changed: leafs, removed };
+      const { leafs, unreadable } = this.#decode(changed);
+      this.news.note({
+        changed: leafs.map(({ leafId }) => leafId),
+        removed: [...removed, ...unreadable],
+        revision,
+      });
+      const changes = { changed: leafs, removed, unreadable };
       this.#set(applyLeafChanges(this.#table, changes, this.#removal()), revision);
     }
   }
@@ -126,20 +135,31 @@
     return { nowMs: this.#options.nowMs(), graceMs: this.#options.graceMs() };
   }
 
-  #decode(objects: ReadonlyArray<StoreObject>): ReadonlyArray<Leaf> {
-    return objects.flatMap(({ name, spec }) => {
-      const leaf = decodeLeaf(name, spec);
+  #decode(objects: ReadonlyArray<StoreObject>): DecodedEntries {
+    const leafs: Array<Leaf> = [];
+    const unreadable: Array<string> = [];
+    for (const { name, revision, spec } of objects) {
+      const leaf = decodeLeaf(name, spec, { revision });
       if (leaf === undefined) {
-        this.#options.telemetry.event("warn", "leafs: entry cannot be read", { leafId: name });
+        unreadable.push(name);
+      } else {
+        leafs.push(leaf);
       }
-      return leaf ?? [];
-    });
+    }
+    if (unreadable.length > 0) {
+      this.#options.telemetry.event("warn", "leafs: entries that cannot be read are passed over", {
+        count: unreadable.length,
+        leafIds: unreadable.slice(0, MOST_NAMED).map((name) => name.slice(0, MOST_NAME_CHARS)),
+      });
+    }
+    return { leafs, unreadable };
   }
 
   #set(table: LeafTable, revision: number): void {
     const before = this.#table;
     this.#table = table;
     this.#revision = revision;
+    this.#tellRestarts(before);
     this.#options.telemetry.event("info", "leafs: changed", {
       revision,
       count: table.byId.size,
@@ -152,6 +172,25 @@
     });
     this.#options.onChange();
   }
+
+  #tellRestarts(before: LeafTable): void {
+    const restarted = [...this.#table.byId.values()].filter((leaf) => {
+      const former = before.byId.get(leaf.leafId);
+      return former !== undefined && !isSameLife(former, leaf);
+    });
+    if (restarted.length > 0) {
+      this.#options.telemetry.event("info", "leafs: started again under their id", {
+        count: restarted.length,
+        leafIds: restarted.slice(0, MOST_NAMED).map(({ leafId }) => leafId),
+      });
+    }
+  }
+}
+
+/** Entries of the store, told apart by whether they can be read. */
+interface DecodedEntries {
+  readonly leafs: ReadonlyArray<Leaf>;
+  readonly unreadable: ReadonlyArray<string>;
 }
 
 function missingIn({ byId }: LeafTable, leafIds: Iterable<string>): ReadonlyArray<string> {
--- a/box/leaf_registry_test.ts
+++ b/box/leaf_registry_test.ts
@@ -3,7 +3,8 @@
 import { LeafRegistry } from "./leaf_registry.js";
 
 function entry(name: string, revision: number, state = "ready"): StoreObject {
-  const spec = { service: "s", address: "10.0.0.1:80", zone: "a", slots: 2, state, sequence: 1 };
+  const place = { service: "s", address: "10.0.0.1:80", zone: "a", version: "v1" };
+  const spec = { ...place, slots: 2, state, warmupLeftMs: 0, sequence: 1 };
   return { name, revision, spec };
 }
 
--- a/box/shared_knowledge_test.ts
+++ b/box/shared_knowledge_test.ts
@@ -16,7 +16,8 @@
 
 function leaf(leafId: string, draining = false): Leaf {
   const place = { address: "10.0.0.1", port: 80, dataCentre: "a" };
-  return { leafId, service: "s", ...place, slots: 2, draining, warmingForMs: 0 };
+  const life = { bornAtEpochMs: 1, entryRevision: 1 };
+  return { leafId, ...life, service: "s", ...place, slots: 2, draining, warmingForMs: 0 };
 }
 
 /** A box that knows leafs `a` and `b` at revision 10. */
--- a/calls/_leaf_call_harness.ts
+++ b/calls/_leaf_call_harness.ts
@@ -15,6 +15,8 @@
 export function leafAt(port: number): Leaf {
   return {
     leafId: "i-1",
+    bornAtEpochMs: 1,
+    entryRevision: 1,
     service: "s",
     address: LOOPBACK,
     port,
@@ -46,8 +48,7 @@
  * @param leafs - The leafs.
  */
 export function learn(calls: LeafCalls, leafs: ReadonlyArray<Leaf>): void {
-  const ids = new Set(leafs.map(({ leafId }) => leafId));
-  calls.forgetUnknown((leafId) => ids.has(leafId));
+  calls.setKnown(new Map(leafs.map((leaf) => [leaf.leafId, leaf])));
 }
 
 /** What of a call matters to a test. */
--- a/calls/leaf_calls.ts
+++ b/calls/leaf_calls.ts
@@ -5,6 +5,7 @@
  */
 import {
   type CallEnd,
+  isSameLife,
   type Leaf,
   type LeafCondition,
   NEW_CONDITION,
@@ -43,11 +44,21 @@
   readonly abandon: () => void;
 }
 
+/**
+ * What this box has with one life of a leaf. Calls keep hold of it to their end, so that one that was sent
+ * to a former life shows nothing of the next.
+ */
+interface LeafLife {
+  condition: LeafCondition;
+  line: LeafLine | undefined;
+}
+
 /** Connections to all leafs, and what was seen of them. */
 export class LeafCalls {
   readonly #options: LeafCallsOptions;
-  readonly #lines = new Map<string, LeafLine>();
-  readonly #conditions = new Map<string, LeafCondition>();
+  readonly #lives = new Map<string, LeafLife>();
+  /** Leafs as they were last told, by id. */
+  #known: ReadonlyMap<string, Leaf> = new Map();
   readonly #open = new Map<number, OpenEntry>();
   #nextCallId = 1;
 
@@ -70,7 +81,7 @@
    * @returns Its condition, or nothing where it was not asked yet.
    */
   condition(leafId: string): LeafCondition | undefined {
-    return this.#conditions.get(leafId);
+    return this.#lives.get(leafId)?.condition;
   }
 
   /**
@@ -83,9 +94,9 @@
   send(call: LeafCall, onEnd: (outcome: AttemptOutcome) => void): OpenCall {
     const callId = this.#nextCallId;
     this.#nextCallId += 1;
-    const { leafId } = call.leaf;
     const waitedMs = this.#options.waitedMs();
-    this.#conditions.set(leafId, noteSent(this.#conditionOf(leafId), { callId, waitedMs }));
+    const life = this.#lifeOf(call.leaf.leafId);
+    life.condition = noteSent(life.condition, { callId, waitedMs });
     const handler = new AnswerReader(call, this.#options.nowMs, ({ outcome, toldLoad }) => {
       this.#open.delete(callId);
       const end: CallEnd = {
@@ -95,13 +106,14 @@
         toldLoad,
         slots: call.leaf.slots,
       };
-      this.#conditions.set(leafId, noteEnded(this.#conditionOf(leafId), end));
+      life.condition = noteEnded(life.condition, end);
       this.#options.onEnd(end.result);
       onEnd(outcome);
     });
     const abandon = (): void => handler.abandon();
     this.#open.set(callId, { deadlineAtMs: call.deadlineAtMs, abandon });
-    this.#lineTo(call.leaf).send(handler);
+    life.line ??= this.#openLine(call.leaf);
+    life.line.send(handler);
     return { abandon, withdraw: () => handler.withdraw() };
   }
 
@@ -115,13 +127,14 @@
     const callId = this.#nextCallId;
     this.#nextCallId += 1;
     const waitedMs = this.#options.waitedMs();
-    this.#conditions.set(leafId, noteSent(this.#conditionOf(leafId), { callId, waitedMs }));
+    const life = this.#lifeOf(leafId);
+    life.condition = noteSent(life.condition, { callId, waitedMs });
     let isNoted = false;
     return (result) => {
       if (!isNoted) {
         isNoted = true;
         const end = { callId, ...this.#now(), result };
-        this.#conditions.set(leafId, noteEnded(this.#conditionOf(leafId), end));
+        life.condition = noteEnded(life.condition, end);
       }
     };
   }
@@ -137,16 +150,21 @@
   }
 
   /**
-   * Closes the connections to leafs that are no longer known; calls under way end first.
+   * Takes in which leafs there are now. Of those that are gone or have started again all is forgotten, and
+   * their connections are closed; calls under way end first.
    *
-   * @param isKnown - Tells whether a leaf is still known.
+   * @param leafs - The leafs, by id.
    */
-  forgetUnknown(isKnown: (leafId: string) => boolean): void {
-    for (const [leafId, line] of this.#lines) {
-      if (!isKnown(leafId)) {
-        this.#lines.delete(leafId);
-        this.#conditions.delete(leafId);
-        line.close();
+  setKnown(leafs: ReadonlyMap<string, Leaf>): void {
+    const before = this.#known;
+    this.#known = leafs;
+    for (const [leafId, { line }] of this.#lives) {
+      const former = before.get(leafId);
+      const leaf = leafs.get(leafId);
+      const isRestarted = leaf !== undefined && former !== undefined && !isSameLife(former, leaf);
+      if (leaf === undefined || isRestarted) {
+        this.#lives.delete(leafId);
+        line?.close({ givesUpWaiting: isRestarted });
       }
     }
   }
@@ -155,20 +173,20 @@
     return { nowMs: this.#options.nowMs(), waitedMs: this.#options.waitedMs() };
   }
 
-  #conditionOf(leafId: string): LeafCondition {
-    return this.#conditions.get(leafId) ?? NEW_CONDITION;
-  }
-
-  #lineTo({ leafId, service, address, port, slots }: Leaf): LeafLine {
-    const held = this.#lines.get(leafId);
+  #lifeOf(leafId: string): LeafLife {
+    const held = this.#lives.get(leafId);
     if (held !== undefined) {
       return held;
     }
+    const life: LeafLife = { condition: NEW_CONDITION, line: undefined };
+    this.#lives.set(leafId, life);
+    return life;
+  }
+
+  #openLine({ service, address, port, slots }: Leaf): LeafLine {
     const { connectionsTo, nowMs } = this.#options;
     const mostConnections = (): number => connectionsTo(service);
-    const line = new LeafLine({ address, port }, { slots, nowMs, mostConnections });
-    this.#lines.set(leafId, line);
-    return line;
+    return new LeafLine({ address, port }, { slots, nowMs, mostConnections });
   }
 }
 
--- a/calls/leaf_calls_test.ts
+++ b/calls/leaf_calls_test.ts
@@ -2,7 +2,7 @@
 import { createServer as createTcpServer, type Socket } from "node:net";
 import t from "tap";
 import { LEAF_HEADERS } from "../platform/mod.js";
-import { call, LOOPBACK, makeCalls, portOf } from "./_leaf_call_harness.js";
+import { call, LOOPBACK, learn, makeCalls, portOf } from "./_leaf_call_harness.js";
 
 t.test("send() gives the leaf's whole answer and keeps the connection", async (t) => {
   let connections = 0;
@@ -24,7 +24,7 @@
     t.equal(outcome.kind === "answered" && outcome.answer.body.toString(), "i-1");
   }
   t.equal(connections, 1);
-  calls.forgetUnknown(() => false);
+  learn(calls, []);
 });
 
 t.test("a call that waits for a connection tells the time left when it is sent", async (t) => {
@@ -45,7 +45,7 @@
   ]);
   t.ok((told[0] ?? 0) > 900, `first told ${told[0]}`);
   t.ok((told[1] ?? 0) <= 800, `second told ${told[1]}`);
-  calls.forgetUnknown(() => false);
+  learn(calls, []);
 });
 
 /** A server that answers each request with fixed bytes. */
@@ -75,7 +75,7 @@
   const calls = makeCalls();
   const outcome = await call(calls, portOf(server));
   t.match(outcome, { kind: "failed", sent: true, reason: "answer to another request" });
-  calls.forgetUnknown(() => false);
+  learn(calls, []);
 });
 
 t.test("a connection with bytes that no call is owed carries no further call", async (t) => {
@@ -91,7 +91,7 @@
   t.equal(first.kind === "answered" && first.answer.body.toString(), "a");
   const second = await call(calls, portOf(server), { requestId: "r2" });
   t.equal(second.kind === "answered" && second.answer.body.toString(), "c");
-  calls.forgetUnknown(() => false);
+  learn(calls, []);
 });
 
 t.test("a leaf that takes no connection fails a call as not sent", async (t) => {
--- a/calls/leaf_line.ts
+++ b/calls/leaf_line.ts
@@ -93,9 +93,17 @@
     this.#serve();
   }
 
-  /** Closes the connections as soon as their calls have ended; no more calls are taken. */
-  close(): void {
+  /**
+   * Closes the connections as soon as their calls have ended; no more calls are taken.
+   *
+   * @param options - Whether calls that wait are given up: they were not sent, and a leaf that has started
+   *   again no longer listens where they would go.
+   */
+  close({ givesUpWaiting }: { readonly givesUpWaiting: boolean }): void {
     this.#closing = true;
+    if (givesUpWaiting) {
+      this.#giveUp(new Set(this.#waiting));
+    }
     this.#closeFree();
   }
 
--- a/leafs/choose_leaf_test.ts
+++ b/leafs/choose_leaf_test.ts
@@ -5,6 +5,8 @@
 
 const NEAR: Leaf = {
   leafId: "b near",
+  bornAtEpochMs: 1,
+  entryRevision: 1,
   service: "s",
   address: "10.0.0.1",
   port: 1,
--- a/leafs/leaf.ts
+++ b/leafs/leaf.ts
@@ -6,8 +6,12 @@
 
 /** One leaf of a service. */
 export interface Leaf {
-  /** Names one run of the leaf; a restart has another. */
+  /** Names the leaf; one that starts again may keep it. */
   readonly leafId: string;
+  /** When it started, in milliseconds since the epoch, by its own clock; 0 where it does not tell. */
+  readonly bornAtEpochMs: number;
+  /** Revision of the store at which its entry was written: of two entries the later one holds. */
+  readonly entryRevision: number;
   readonly service: string;
   readonly address: string;
   readonly port: number;
@@ -19,3 +23,20 @@
   /** Time for which it is still slow after its start, in milliseconds, as of its entry. */
   readonly warmingForMs: number;
 }
+
+/**
+ * Tells whether two entries of one id are of the same run of the leaf. One that started again knows nothing
+ * of before: what was learnt of its former life, or sent to it, says nothing of the next. The address
+ * tells lives apart as well, for leafs that do not say when they started.
+ *
+ * @param one - An entry.
+ * @param other - Another one of the same id.
+ * @returns Whether they are of one life.
+ */
+export function isSameLife(one: Leaf, other: Leaf): boolean {
+  return (
+    one.bornAtEpochMs === other.bornAtEpochMs &&
+    one.address === other.address &&
+    one.port === other.port
+  );
+}
--- a/leafs/leaf_table.ts
+++ b/leafs/leaf_table.ts
@@ -18,10 +18,12 @@
 
 /** What has changed among the leafs' entries. */
 export interface LeafChanges {
-  /** Entries that are new or differ from before. */
+  /** Entries that are new or differ from before; one older than what is known is passed over. */
   readonly changed: ReadonlyArray<Leaf>;
   /** Ids of entries that are gone. */
   readonly removed: ReadonlyArray<string>;
+  /** Ids of entries that are there but cannot be read: such a leaf is dropped without a time to come back. */
+  readonly unreadable?: ReadonlyArray<string>;
 }
 
 /** How long entries that are gone are still believed in. */
@@ -41,14 +43,16 @@
  */
 export function applyLeafChanges(
   table: LeafTable,
-  { changed, removed }: LeafChanges,
+  { changed, removed, unreadable = [] }: LeafChanges,
   { nowMs, graceMs }: RemovalOptions,
 ): LeafTable {
   const byId = new Map(table.byId);
   const dropAtMs = new Map(table.dropAtMs);
   for (const leaf of changed) {
-    byId.set(leaf.leafId, leaf);
-    dropAtMs.delete(leaf.leafId);
+    if (leaf.entryRevision >= (byId.get(leaf.leafId)?.entryRevision ?? 0)) {
+      byId.set(leaf.leafId, leaf);
+      dropAtMs.delete(leaf.leafId);
+    }
   }
   for (const leafId of removed) {
     if (graceMs > 0 && byId.get(leafId)?.draining === false) {
@@ -58,25 +62,35 @@
       dropAtMs.delete(leafId);
     }
   }
+  for (const leafId of unreadable) {
+    byId.delete(leafId);
+    dropAtMs.delete(leafId);
+  }
   return { byId, byService: groupByService(byId), dropAtMs };
 }
 
+/** How a whole list of entries is taken in. */
+export interface LeafListOptions extends RemovalOptions {
+  /** Ids of entries of the list that cannot be read; none by default. */
+  readonly unreadable?: ReadonlyArray<string>;
+}
+
 /**
  * Takes in a whole list of entries: what it lacks is gone.
  *
  * @param table - Leafs known so far.
- * @param listed - All entries.
- * @param options - The present moment, and how long a missing entry may come back.
+ * @param listed - All entries that can be read.
+ * @param options - The others, the present moment, and how long a missing entry may come back.
  * @returns The table after that.
  */
 export function applyLeafList(
   table: LeafTable,
   listed: ReadonlyArray<Leaf>,
-  options: RemovalOptions,
+  { unreadable = [], ...removal }: LeafListOptions,
 ): LeafTable {
-  const ids = new Set(listed.map((leaf) => leaf.leafId));
+  const ids = new Set([...listed.map((leaf) => leaf.leafId), ...unreadable]);
   const removed = [...table.byId.keys()].filter((leafId) => !ids.has(leafId));
-  return applyLeafChanges(table, { changed: listed, removed }, options);
+  return applyLeafChanges(table, { changed: listed, removed, unreadable }, removal);
 }
 
 /** Which leafs are dropped. */
