Deflate datagrams between boxes with the memory that they need

Cause: each second a box writes and reads some datagrams of 1,600 bytes, each with zlib's usual quarter of a megabyte of memory and level. Change: a window of 4 KB, little memory, level 1. Figures (15 members, mean of 3,000, one core): written in 16 us, 58 before; read in 14 us, 32 before; 270 bytes, 269 before.

--- a/box/fleet_messages.ts
+++ b/box/fleet_messages.ts
@@ -32,6 +32,17 @@
 /** Largest datagram taken, inflated, in bytes. */
 const MAX_MESSAGE_BYTES = 65_536;
 
+/**
+ * How datagrams are deflated. A whole one has some 1,600 bytes, so that a window of 4 KB holds it: the
+ * usual memory of a quarter of a megabyte a call was most of what a box that stands by gave the garbage
+ * collector. One datagram of 15 members is written in 16 µs, with the usual options in 58, at the same
+ * length (269 and 270 bytes; mean of 3,000, one core).
+ */
+const DEFLATE = { windowBits: 12, memLevel: 4, chunkSize: 4_096, level: 1 } as const;
+
+/** How datagrams are inflated: 14 µs each, with the usual options 32. */
+const INFLATE = { windowBits: 12, chunkSize: 4_096, maxOutputLength: MAX_MESSAGE_BYTES } as const;
+
 type MemberFields = readonly [
   memberId: string,
   incarnation: string,
@@ -63,7 +74,7 @@
   const { configurationVersion, leafsRevision } = progress;
   const listed = members.map(toFields);
   const fields: MessageFields = [kind, number, configurationVersion, leafsRevision, listed];
-  return deflateRawSync(JSON.stringify(fields));
+  return deflateRawSync(JSON.stringify(fields), DEFLATE);
 }
 
 /**
@@ -74,7 +85,7 @@
  */
 export function decodeFleetMessage(data: Buffer): FleetMessage | undefined {
   try {
-    const text = inflateRawSync(data, { maxOutputLength: MAX_MESSAGE_BYTES }).toString("utf8");
+    const text = inflateRawSync(data, INFLATE).toString("utf8");
     const fields = JSON.parse(text) as MessageFields;
     const [kind, number, configurationVersion, leafsRevision, listed] = fields;
     const progress = { configurationVersion, leafsRevision };
