Let a box that stands by wake up only for what there is to do

Cause: a standing-by box among 194 others woke up 17.8 times a second: 5 to look for overdue calls, twice to write out a log without a line, once for a question that had been answered. Each look also computed anew which boxes of the region watch the store.

Change: looks come every second while nothing is open, and at once every 200 ms when a call or an order goes out, a box changes, or an entry is missing; the log is written out a while after a line has come; the timer for asking again ends with the answer; who watches is kept until a box changes.

--- /dev/null
+++ b/box/adaptive_timer_test.ts
@@ -0,0 +1,47 @@
+import t from "tap";
+import { pause } from "../standins/waiting.js";
+import { AdaptiveTimer } from "./adaptive_timer.js";
+
+function makeTimer({ isBusy }: { readonly isBusy: () => boolean }) {
+  let runs = 0;
+  const timer = new AdaptiveTimer({
+    busyMs: 20,
+    idleMs: 5_000,
+    isBusy,
+    run: () => {
+      runs += 1;
+    },
+  });
+  timer.start();
+  return { timer, runs: () => runs };
+}
+
+t.test("an idle timer runs once and then waits", async (t) => {
+  const { timer, runs } = makeTimer({ isBusy: () => false });
+  await pause(200);
+  t.equal(runs(), 1);
+  timer.stop();
+});
+
+t.test("hurry() ends the slow wait, once", async (t) => {
+  const { timer, runs } = makeTimer({ isBusy: () => false });
+  await pause(100);
+  timer.hurry();
+  timer.hurry();
+  await pause(100);
+  t.equal(runs(), 2);
+  timer.stop();
+});
+
+t.test("a busy timer goes on at the quick pace, however often it is hurried", async (t) => {
+  const { timer, runs } = makeTimer({ isBusy: () => true });
+  for (let round = 0; round < 20; round++) {
+    timer.hurry();
+    await pause(10);
+  }
+  t.ok(runs() >= 4, `${runs()} runs`);
+  timer.stop();
+  const ended = runs();
+  await pause(60);
+  t.equal(runs(), ended);
+});
--- a/box/box_shell.ts
+++ b/box/box_shell.ts
@@ -12,6 +12,7 @@
 import { RelayCalls } from "../relay/mod.js";
 import { listen } from "./_listen.js";
 import { makeRunner } from "./_make_runner.js";
+import { AdaptiveTimer } from "./adaptive_timer.js";
 import { BoxKnowledge } from "./box_knowledge.js";
 import { BoxLife } from "./box_life.js";
 import { type BoxReport, reportBox } from "./box_report.js";
@@ -31,9 +32,15 @@
 /** Time that callers may keep an answer of the directory, in milliseconds; at most the setting. */
 const KEEP_MS = 5_000;
 
-/** Time between two looks at what is overdue, in milliseconds. */
+/** Time between two looks at what is overdue while calls are open or boxes change, in milliseconds. */
 const TIDY_EVERY_MS = 200;
 
+/**
+ * The same on a box that stands by, where nothing can be overdue: of its 18 wake-ups a second 5 were for
+ * looks that found nothing.
+ */
+const TIDY_IDLE_EVERY_MS = 1_000;
+
 /** Bodies taken before a configuration sets the limit, in bytes. */
 const DEFAULT_MAX_BODY_BYTES = 262_144;
 
@@ -57,7 +64,11 @@
   readonly #store: StoreClient;
   readonly #knowledge: BoxKnowledge;
   readonly #calls: LeafCalls;
-  readonly #relays = new RelayCalls({ nowMs, waitedMs });
+  readonly #relays = new RelayCalls({
+    nowMs,
+    waitedMs,
+    onBusy: () => this.#tidyTimer.hurry(),
+  });
   readonly #budgets: ExtraCallBudgets;
   readonly #runner: RequestRunner;
   readonly #fleet: FleetLink;
@@ -65,7 +76,12 @@
   readonly #servers: ReadonlyArray<ServerAtPort>;
   readonly #view: FleetView;
   readonly #life: BoxLife;
-  #tidyTimer: NodeJS.Timeout | undefined;
+  readonly #tidyTimer = new AdaptiveTimer({
+    busyMs: TIDY_EVERY_MS,
+    idleMs: TIDY_IDLE_EVERY_MS,
+    isBusy: () => this.#isBusy(),
+    run: () => this.#tidy(),
+  });
 
   /**
    * @param options - What the box is started with.
@@ -105,6 +121,7 @@
         const terms = this.#knowledge.routes?.termsByService.get(service);
         return this.#view.connectionShare(terms?.maxConnections || Number.POSITIVE_INFINITY);
       },
+      onBusy: () => this.#tidyTimer.hurry(),
       onEnd: (result) => telemetry.attempts.add(result),
     });
     this.#budgets = new ExtraCallBudgets({
@@ -148,6 +165,7 @@
       onProgress: (member, progress) => catchUp.compare(member, progress),
       onMember: ({ box, state, incarnation }) => {
         this.#view.changed();
+        this.#tidyTimer.hurry();
         telemetry.event("info", "fleet: box changed", { member: box, state, incarnation });
       },
       onFault: (message) => telemetry.event("warn", "fleet: fault", { reason: message }),
@@ -200,7 +218,7 @@
     this.#knowledge.start();
     await Promise.all(this.#servers.map(({ server, port }) => listen(server, { address, port })));
     await this.#fleet.start();
-    this.#tidyTimer = setInterval(() => this.#tidy(), TIDY_EVERY_MS);
+    this.#tidyTimer.start();
     this.#telemetry.event("info", "box: started", { startMs: Math.round(performance.now()) });
   }
 
@@ -217,6 +235,7 @@
     const budgets = { extraCallShare, extraCallSlack, extraCallWindowMs };
     const changed = { seeds, mostKeepMs, stopGraceMs, ...budgets };
     this.#settings = { ...before, ...changed };
+    this.#view.changed();
     this.#telemetry.event("info", "box: reloaded", changed);
   }
 
@@ -250,7 +269,7 @@
 
   #end(): void {
     const open = this.#runner.answerAll();
-    clearInterval(this.#tidyTimer);
+    this.#tidyTimer.stop();
     this.#knowledge.stop();
     this.#fleet.stop();
     this.#telemetry.event("info", "box: stopped", { open });
@@ -282,8 +301,13 @@
     return seeds.map(({ address }) => address).filter((address) => address !== own);
   }
 
+  /** Whether something may be overdue before a box that stands by would look. */
+  #isBusy(): boolean {
+    const isWaiting = this.#calls.openCount + this.#relays.openCount > 0;
+    return isWaiting || !this.#knowledge.isComplete || this.#knowledge.leafs.dropAtMs.size > 0;
+  }
+
   #tidy(): void {
-    this.#view.changed();
     this.#calls.dropOverdue();
     this.#relays.dropOverdue();
     this.#knowledge.dropOverdue();
--- a/box/box_telemetry.ts
+++ b/box/box_telemetry.ts
@@ -95,10 +95,8 @@
   const log = bunyan.createLogger({
     name: "rackvale-box",
     box,
-    stream: sink as unknown as NodeJS.WritableStream,
+    stream: flushedSoon(sink) as unknown as NodeJS.WritableStream,
   });
-  const flushTimer = setInterval(() => sink.flush(), FLUSH_EVERY_MS);
-  flushTimer.unref();
   let second = 0;
   let lines = 0;
   return {
@@ -165,6 +163,24 @@
   };
 }
 
+/** Writes out what is gathered a while after a line has come; a box without news is not woken up. */
+function flushedSoon(sink: sonicBoom.SonicBoom): { write(line: string): void } {
+  let isFlushDue = false;
+  function flush(): void {
+    isFlushDue = false;
+    sink.flush();
+  }
+  return {
+    write: (line) => {
+      sink.write(line);
+      if (!isFlushDue) {
+        isFlushDue = true;
+        setTimeout(flush, FLUSH_EVERY_MS).unref();
+      }
+    },
+  };
+}
+
 function storeGauges(registers: Array<Registry>): BoxTelemetry["noteStore"] {
   const storeCalls = new Gauge({
     name: "rackvale_store_calls",
--- a/box/fleet_link.ts
+++ b/box/fleet_link.ts
@@ -60,6 +60,7 @@
   #number = 0;
   #asked: { readonly number: number; readonly memberId: string } | undefined;
   #timer: NodeJS.Timeout | undefined;
+  #askAgainTimer: NodeJS.Timeout | undefined;
 
   /**
    * @param options - What the link needs of its box.
@@ -124,6 +125,7 @@
   /** Ends the link. */
   stop(): void {
     clearInterval(this.#timer);
+    clearTimeout(this.#askAgainTimer);
     this.#socket.close();
   }
 
@@ -150,7 +152,7 @@
       return;
     }
     const number = this.#ask(chosen.address);
-    setTimeout(() => {
+    this.#askAgainTimer = setTimeout(() => {
       const late = this.#asked?.number === number ? this.#asked : undefined;
       if (late !== undefined) {
         this.#ask(chosen.address, { number: late.number });
@@ -202,6 +204,7 @@
       this.#send("answer", message.number, address);
     } else if (message.number === this.#asked?.number) {
       this.#asked = undefined;
+      clearTimeout(this.#askAgainTimer);
     }
     const sender = message.members[0];
     if (sender !== undefined) {
--- a/box/fleet_view.ts
+++ b/box/fleet_view.ts
@@ -25,6 +25,7 @@
 export class FleetView {
   readonly #options: FleetViewOptions;
   readonly #serving = new Map<string, ReadonlyArray<Member>>();
+  #watchesStore: boolean | undefined;
 
   /**
    * @param options - What the view is made from.
@@ -36,6 +37,7 @@
   /** Says that a box has changed, so that conclusions are drawn anew. */
   changed(): void {
     this.#serving.clear();
+    this.#watchesStore = undefined;
   }
 
   /** Boxes that share what is shared over all of them; no fewer than the settings name. */
@@ -75,9 +77,10 @@
     return advised.map(({ address, callerPort }) => ({ address, port: callerPort }));
   }
 
-  /** Whether this box is among those that watch the store. */
+  /** Whether this box is among those that watch the store; kept until a box changes. */
   watchesStore(): boolean {
-    return storeWatchers(this.#nearLiving()).has(this.#options.settings().box);
+    this.#watchesStore ??= storeWatchers(this.#nearLiving()).has(this.#options.settings().box);
+    return this.#watchesStore;
   }
 
   /** Other boxes of the own region. */
--- a/calls/leaf_calls.ts
+++ b/calls/leaf_calls.ts
@@ -32,6 +32,8 @@
   readonly waitedMs: () => number;
   /** Most connections of this box to a leaf of a service. */
   readonly connectionsTo: (service: string) => number;
+  /** Told when a call is sent and none was open. */
+  readonly onBusy?: () => void;
   /** Told how each call ended. */
   readonly onEnd: (result: CallEnd["result"]) => void;
 }
@@ -111,6 +113,9 @@
       onEnd(outcome);
     });
     const abandon = (): void => handler.abandon();
+    if (this.#open.size === 0) {
+      this.#options.onBusy?.();
+    }
     this.#open.set(callId, { deadlineAtMs: call.deadlineAtMs, abandon });
     life.line ??= this.#openLine(call.leaf);
     life.line.send(handler);
--- a/relay/relay_calls.ts
+++ b/relay/relay_calls.ts
@@ -57,17 +57,20 @@
   readonly overdueAtMs: number;
 }
 
-/** Clocks by which other boxes are judged. */
-export interface RelayClocks {
+/** What the orders need of their box. */
+export interface RelayCallsOptions {
   readonly nowMs: () => number;
-  /** Stands still while this box is busy. */
+  /** Tells the moment by a clock that stands still while this box is busy, in milliseconds. */
   readonly waitedMs: () => number;
+  /** Told when an order is sent and none was open. */
+  readonly onBusy?: () => void;
 }
 
 /** Orders to other boxes, and how these have behaved. */
 export class RelayCalls {
   readonly #nowMs: () => number;
   readonly #waitedMs: () => number;
+  readonly #onBusy: () => void;
   readonly #pools = new Map<string, Pool>();
   readonly #conditions = new Map<string, LeafCondition>();
   readonly #queues = new Map<string, ToldQueue>();
@@ -75,11 +78,17 @@
   #nextCallId = 1;
 
   /**
-   * @param clocks - Tell the present moment.
+   * @param options - What the orders need of their box.
    */
-  constructor({ nowMs, waitedMs }: RelayClocks) {
+  constructor({ nowMs, waitedMs, onBusy = () => undefined }: RelayCallsOptions) {
     this.#nowMs = nowMs;
     this.#waitedMs = waitedMs;
+    this.#onBusy = onBusy;
+  }
+
+  /** Orders that have not ended. */
+  get openCount(): number {
+    return this.#open.size;
   }
 
   /**
@@ -150,6 +159,9 @@
     const pool = this.#poolOf(origin);
     const overdueAtMs = this.#nowMs() + order.leftMs + OVERDUE_MS;
     const silentAtMs = silentMoment(order, this.#nowMs());
+    if (this.#open.size === 0) {
+      this.#onBusy();
+    }
     this.#open.set(callId, { reader, pool, origin, silentAtMs, overdueAtMs });
     pool.dispatch(
       {
