--- a/bench/play_days.ts
+++ b/bench/play_days.ts
@@ -1,8 +1,8 @@
 /**
- * Plays the days of `bench/days` by a program that plays days, one after the other or a few at a time, and
+ * Plays the days of `deploy/days` by a program that plays days, one after the other or a few at a time, and
  * prints a table: each kind of trouble, and pairs of kinds that meet.
  *
- *     npm run days -- --program PATH --site SITE-FILE [--only TEXT] [--jobs 3]
+ *     npm run days -- --program PATH --site SITE-FILE [--only TEXT] [--jobs 3] [--vary SEED]
  *
  * @module
  */
@@ -11,17 +11,19 @@
 import { join } from "node:path";
 import { settingsOrExit } from "../settings/mod.js";
 
-const USAGE = "Usage: npm run days -- --program PATH --site FILE [--only TEXT] [--jobs N]";
+const USAGE =
+  "Usage: npm run days -- --program PATH --site FILE [--only TEXT] [--jobs N] [--vary SEED]";
 
 const SPECS = {
   program: { kind: "text", help: "The program that plays a day" },
   site: { kind: "text", help: "Site file to play the days on" },
   only: { kind: "text", help: "Plays only days whose name holds this text", fallback: "" },
   jobs: { kind: "number", help: "Days played at a time", fallback: "3", least: 1, most: 8 },
+  vary: { kind: "number", help: "Seed of other times and figures; 0 as written", fallback: "0" },
   why: { kind: "text", help: "Line for the journal", fallback: "the project's own days" },
 } as const;
 
-const FOLDER = "bench/days";
+const FOLDER = "deploy/days";
 
 interface PlayedDay {
   readonly name: string;
@@ -33,7 +35,9 @@
 const { settings } = settingsOrExit(USAGE, SPECS);
 
 function playDay(name: string): Promise<PlayedDay> {
-  const args = ["run", settings.site, join(FOLDER, `${name}.toml`), "--why", settings.why];
+  const file = join(FOLDER, `${name}.toml`);
+  const varied = settings.vary === 0 ? [] : ["--vary", "--seed", String(settings.vary)];
+  const args = ["run", settings.site, file, ...varied, "--why", settings.why];
   const child = spawn(settings.program, args, { stdio: ["ignore", "pipe", "pipe"] });
   let output = "";
   child.stdout.on("data", (chunk: Buffer) => {
