--- a/box/leaf_registry.ts
+++ b/box/leaf_registry.ts
@@ -7,7 +7,7 @@
   applyLeafChanges,
   applyLeafList,
   dropOverdueLeafs,
-  isSameLife,
+  isSameIncarnation,
   type Leaf,
   type LeafTable,
   NO_LEAFS,
@@ -176,7 +176,7 @@
   #tellRestarts(before: LeafTable): void {
     const restarted = [...this.#table.byId.values()].filter((leaf) => {
       const former = before.byId.get(leaf.leafId);
-      return former !== undefined && !isSameLife(former, leaf);
+      return former !== undefined && !isSameIncarnation(former, leaf);
     });
     if (restarted.length > 0) {
       this.#options.telemetry.event("info", "leafs: started again under their id", {
--- a/box/strange_entry_test.ts
+++ b/box/strange_entry_test.ts
@@ -80,7 +80,7 @@
   t.ok(JSON.stringify(passedOver).length < 1_500, "its length is bounded");
 });
 
-t.test("an older entry never brings an earlier life of a leaf back", async (t) => {
+t.test("an older entry never brings an earlier incarnation of a leaf back", async (t) => {
   const { registry } = makeRegistry();
   registry.takeChanges({ changed: [entry("a", 21, { born: 2 })], removed: [], revision: 21 });
   const earlier = entry("a", 11, { born: 1, state: "draining" });
@@ -99,7 +99,7 @@
 });
 
 t.test(
-  "a leaf that starts again under its id is told in the log, once for each life",
+  "a leaf that starts again under its id is told in the log, once for each incarnation",
   async (t) => {
     const { registry, lines } = makeRegistry();
     registry.takeChanges({ changed: [entry("a", 11, { born: 5 })], removed: [], revision: 11 });
--- a/calls/leaf_calls.ts
+++ b/calls/leaf_calls.ts
@@ -5,7 +5,7 @@
  */
 import {
   type CallEnd,
-  isSameLife,
+  isSameIncarnation,
   type Leaf,
   type LeafCondition,
   NEW_CONDITION,
@@ -47,10 +47,10 @@
 }
 
 /**
- * What this box has with one life of a leaf. Calls keep hold of it to their end, so that one that was sent
- * to a former life shows nothing of the next.
+ * What this box has with one incarnation of a leaf. Calls keep hold of it to their end, so that one that was sent
+ * to a former incarnation shows nothing of the next.
  */
-interface LeafLife {
+interface LeafIncarnation {
   condition: LeafCondition;
   line: LeafLine | undefined;
 }
@@ -58,7 +58,7 @@
 /** Connections to all leafs, and what was seen of them. */
 export class LeafCalls {
   readonly #options: LeafCallsOptions;
-  readonly #lives = new Map<string, LeafLife>();
+  readonly #incarnations = new Map<string, LeafIncarnation>();
   /** Leafs as they were last told, by id. */
   #known: ReadonlyMap<string, Leaf> = new Map();
   readonly #open = new Map<number, OpenEntry>();
@@ -83,7 +83,7 @@
    * @returns Its condition, or nothing where it was not asked yet.
    */
   condition(leafId: string): LeafCondition | undefined {
-    return this.#lives.get(leafId)?.condition;
+    return this.#incarnations.get(leafId)?.condition;
   }
 
   /**
@@ -97,8 +97,8 @@
     const callId = this.#nextCallId;
     this.#nextCallId += 1;
     const waitedMs = this.#options.waitedMs();
-    const life = this.#lifeOf(call.leaf.leafId);
-    life.condition = noteSent(life.condition, { callId, waitedMs });
+    const incarnation = this.#incarnationOf(call.leaf.leafId);
+    incarnation.condition = noteSent(incarnation.condition, { callId, waitedMs });
     const handler = new AnswerReader(call, this.#options.nowMs, ({ outcome, toldLoad }) => {
       this.#open.delete(callId);
       const end: CallEnd = {
@@ -108,7 +108,7 @@
         toldLoad,
         slots: call.leaf.slots,
       };
-      life.condition = noteEnded(life.condition, end);
+      incarnation.condition = noteEnded(incarnation.condition, end);
       this.#options.onEnd(end.result);
       onEnd(outcome);
     });
@@ -117,8 +117,8 @@
       this.#options.onBusy?.();
     }
     this.#open.set(callId, { deadlineAtMs: call.deadlineAtMs, abandon });
-    life.line ??= this.#openLine(call.leaf);
-    life.line.send(handler);
+    incarnation.line ??= this.#openLine(call.leaf);
+    incarnation.line.send(handler);
     return { abandon, withdraw: () => handler.withdraw() };
   }
 
@@ -132,14 +132,14 @@
     const callId = this.#nextCallId;
     this.#nextCallId += 1;
     const waitedMs = this.#options.waitedMs();
-    const life = this.#lifeOf(leafId);
-    life.condition = noteSent(life.condition, { callId, waitedMs });
+    const incarnation = this.#incarnationOf(leafId);
+    incarnation.condition = noteSent(incarnation.condition, { callId, waitedMs });
     let isNoted = false;
     return (result) => {
       if (!isNoted) {
         isNoted = true;
         const end = { callId, ...this.#now(), result };
-        life.condition = noteEnded(life.condition, end);
+        incarnation.condition = noteEnded(incarnation.condition, end);
       }
     };
   }
@@ -163,12 +163,13 @@
   setKnown(leafs: ReadonlyMap<string, Leaf>): void {
     const before = this.#known;
     this.#known = leafs;
-    for (const [leafId, { line }] of this.#lives) {
+    for (const [leafId, { line }] of this.#incarnations) {
       const former = before.get(leafId);
       const leaf = leafs.get(leafId);
-      const isRestarted = leaf !== undefined && former !== undefined && !isSameLife(former, leaf);
+      const isRestarted =
+        leaf !== undefined && former !== undefined && !isSameIncarnation(former, leaf);
       if (leaf === undefined || isRestarted) {
-        this.#lives.delete(leafId);
+        this.#incarnations.delete(leafId);
         line?.close({ givesUpWaiting: isRestarted });
       }
     }
@@ -178,14 +179,14 @@
     return { nowMs: this.#options.nowMs(), waitedMs: this.#options.waitedMs() };
   }
 
-  #lifeOf(leafId: string): LeafLife {
-    const held = this.#lives.get(leafId);
+  #incarnationOf(leafId: string): LeafIncarnation {
+    const held = this.#incarnations.get(leafId);
     if (held !== undefined) {
       return held;
     }
-    const life: LeafLife = { condition: NEW_CONDITION, line: undefined };
-    this.#lives.set(leafId, life);
-    return life;
+    const incarnation: LeafIncarnation = { condition: NEW_CONDITION, line: undefined };
+    this.#incarnations.set(leafId, incarnation);
+    return incarnation;
   }
 
   #openLine({ service, address, port, slots }: Leaf): LeafLine {
--- a/calls/leaf_life_test.ts
+++ b/calls/leaf_incarnation_test.ts
@@ -1,8 +1,8 @@
 // A leaf may start again under the id that it had. Its calls went on to the address of its first entry for
 // ever; having said once that it is gone it was never asked again; and it was judged by what its former
-// life had shown.
+// incarnation had shown.
 //
-// What is learnt of a leaf belongs to one life of it.
+// What is learnt of a leaf belongs to one incarnation of it.
 
 import { createServer, type Server } from "node:http";
 import t, { type Test } from "tap";
@@ -38,7 +38,7 @@
   return { server, asked, cut: () => server.closeAllConnections() };
 }
 
-function life(server: Server, bornAtEpochMs: number): Leaf {
+function incarnation(server: Server, bornAtEpochMs: number): Leaf {
   return { ...leafAt(portOf(server)), ...{ bornAtEpochMs } };
 }
 
@@ -51,47 +51,47 @@
 t.test("a leaf that is back at another address is asked there", async (t) => {
   const [before, after] = [await startLeaf(t, 200), await startLeaf(t, 200)];
   const calls = makeCalls();
-  learn(calls, [life(before.server, 1)]);
-  await ask(calls, life(before.server, 1), "r1");
-  learn(calls, [life(after.server, 2)]);
-  const outcome = await ask(calls, life(after.server, 2), "r2");
+  learn(calls, [incarnation(before.server, 1)]);
+  await ask(calls, incarnation(before.server, 1), "r1");
+  learn(calls, [incarnation(after.server, 2)]);
+  const outcome = await ask(calls, incarnation(after.server, 2), "r2");
   t.equal(outcome.kind, "answered");
   t.same([before.asked, after.asked], [["r1"], ["r2"]]);
 });
 
-t.test("a leaf that said it is gone is judged anew in its next life", async (t) => {
+t.test("a leaf that said it is gone is judged anew in its next incarnation", async (t) => {
   const leaf = await startLeaf(t, 421);
   const calls = makeCalls();
-  learn(calls, [life(leaf.server, 1)]);
-  await ask(calls, life(leaf.server, 1), "r1");
+  learn(calls, [incarnation(leaf.server, 1)]);
+  await ask(calls, incarnation(leaf.server, 1), "r1");
   t.equal(calls.condition("i-1")?.gone, true);
-  learn(calls, [life(leaf.server, 2)]);
+  learn(calls, [incarnation(leaf.server, 2)]);
   t.equal(calls.condition("i-1"), undefined);
 });
 
 t.test(
-  "a call that was sent to the former life ends as unknown, and shows nothing of the next",
+  "a call that was sent to the former incarnation ends as unknown, and shows nothing of the next",
   async (t) => {
     const leaf = await startLeaf(t, undefined);
     const calls = makeCalls();
-    learn(calls, [life(leaf.server, 1)]);
-    const held = ask(calls, life(leaf.server, 1), "r1");
+    learn(calls, [incarnation(leaf.server, 1)]);
+    const held = ask(calls, incarnation(leaf.server, 1), "r1");
     await until(async () => leaf.asked.length === 1, "the call has reached the leaf");
-    learn(calls, [life(leaf.server, 2)]);
+    learn(calls, [incarnation(leaf.server, 2)]);
     leaf.cut();
     t.match(await held, { kind: "failed", sent: true }, "it may have run");
     t.equal(calls.condition("i-1"), undefined);
   },
 );
 
-t.test("a call that waited for the former life is given up unsent", async (t) => {
+t.test("a call that waited for the former incarnation is given up unsent", async (t) => {
   const leaf = await startLeaf(t, undefined);
   const calls = makeCalls(1);
-  learn(calls, [life(leaf.server, 1)]);
-  void ask(calls, life(leaf.server, 1), "r1");
+  learn(calls, [incarnation(leaf.server, 1)]);
+  void ask(calls, incarnation(leaf.server, 1), "r1");
   await until(async () => leaf.asked.length === 1, "the call has reached the leaf");
-  const waiting = ask(calls, life(leaf.server, 1), "r2");
-  learn(calls, [life(leaf.server, 2)]);
+  const waiting = ask(calls, incarnation(leaf.server, 1), "r2");
+  learn(calls, [incarnation(leaf.server, 2)]);
   t.match(await waiting, { kind: "failed", sent: false });
   t.same(leaf.asked, ["r1"]);
 });
--- a/fault_soak/soak_fleet.ts
+++ b/fault_soak/soak_fleet.ts
@@ -117,7 +117,7 @@
    *
    * @param service - Its service.
    * @param dataCentre - Where it stands.
-   * @param options - Id that it had in an earlier life; a new one by default.
+   * @param options - Id that it had in an earlier incarnation; a new one by default.
    */
   async addLeaf(
     service: string,
--- a/leafs/leaf.ts
+++ b/leafs/leaf.ts
@@ -26,14 +26,14 @@
 
 /**
  * Tells whether two entries of one id are of the same run of the leaf. One that started again knows nothing
- * of before: what was learnt of its former life, or sent to it, says nothing of the next. The address
- * tells lives apart as well, for leafs that do not say when they started.
+ * of before: what was learnt of its former incarnation, or sent to it, says nothing of the next. The address
+ * tells them apart as well, for leafs that do not say when they started.
  *
  * @param one - An entry.
  * @param other - Another one of the same id.
- * @returns Whether they are of one life.
+ * @returns Whether they are of one incarnation.
  */
-export function isSameLife(one: Leaf, other: Leaf): boolean {
+export function isSameIncarnation(one: Leaf, other: Leaf): boolean {
   return (
     one.bornAtEpochMs === other.bornAtEpochMs &&
     one.address === other.address &&
