Replay fleets of hundreds of boxes over many shards: eight patterns

87 and 129 shards of two leafs in two regions, least shares of 0.95 and 0.85, pauses of 250 ms each 6 s, 18 serving boxes, budgets shared by who serves; slow leafs (0.15 by 10, 0.14 by 9 twice over, 0.4 by 12), shedding 0.6 at 0.8 of them, answers lost, a burst of 1.8. Kinds of query, regions with leafs and sharers of the slack are part of a pattern now; earlier patterns are as they were.

--- a/replay/load_pattern.ts
+++ b/replay/load_pattern.ts
@@ -41,10 +41,15 @@
 
 /** One load pattern. */
 export interface LoadPattern {
+  readonly kinds: ReadonlyArray<QueryKind>;
   readonly shards: number;
   readonly slots: number;
-  /** Boxes in each of the three regions. */
+  /** Regions of the three that have leafs; a shard's two leafs lie in two of them. */
+  readonly leafRegions: ReadonlyArray<number>;
+  /** Boxes in each of the three regions that take requests. */
   readonly boxesInRegion: number;
+  /** Boxes among which the slack of extra calls is split. */
+  readonly slackSharers: number;
   readonly perSecond: number;
   readonly lengthMs: number;
   /** Time for which each leaf stands still now and then, in milliseconds, and how often. */
@@ -67,8 +72,8 @@
   readonly coldForMs: number;
 }
 
-/** Kinds of query that all patterns have: a complete search, and an urgent one with a short aim. */
-export const QUERY_KINDS: ReadonlyArray<QueryKind> = [
+/** A complete search over some dozens of shards, and an urgent one with a short aim. */
+const SEARCHES: ReadonlyArray<QueryKind> = [
   {
     ...{ name: "search", share: 0.75, workMs: 28, aimMs: 215, deadlineMs: 3_000 },
     ...{ leastShare: 0.89, worth: 2, priorityRank: 1 },
@@ -79,15 +84,39 @@
   },
 ];
 
+/** Nearly complete searches over many shards, and urgent ones that may lack more. */
+const WIDE_SEARCHES: ReadonlyArray<QueryKind> = [
+  {
+    ...{ name: "sweep", share: 0.75, workMs: 28.6, aimMs: 329, deadlineMs: 2_005 },
+    ...{ leastShare: 0.95, worth: 2, priorityRank: 1 },
+  },
+  {
+    ...{ name: "quick pick", share: 0.25, workMs: 9.57, aimMs: 110, deadlineMs: 1_004 },
+    ...{ leastShare: 0.85, worth: 1, priorityRank: 2 },
+  },
+];
+
 const CALM: LoadPattern = {
+  ...{ kinds: SEARCHES, leafRegions: [0, 1, 2], slackSharers: 9 },
   ...{ shards: 30, slots: 2, boxesInRegion: 3, perSecond: 60, lengthMs: 12_000 },
   ...{ pauseMs: 250, pauseEveryMs: 6_000, slackCalls: 56, faults: [], bursts: [] },
 };
 
+/** A fleet of hundreds of boxes, a few of which serve in each region, over leafs in two regions. */
+const WIDE: LoadPattern = {
+  ...{ kinds: WIDE_SEARCHES, leafRegions: [0, 1], slackSharers: 25 },
+  ...{ shards: 87, slots: 2, boxesInRegion: 6, perSecond: 34, lengthMs: 12_000 },
+  ...{ pauseMs: 250, pauseEveryMs: 6_000, slackCalls: 430, faults: [], bursts: [] },
+};
+
 function faulty(...faults: ReadonlyArray<LeafFault>): LoadPattern {
   return { ...CALM, faults };
 }
 
+function wideFaulty(...faults: ReadonlyArray<LeafFault>): LoadPattern {
+  return { ...WIDE, faults };
+}
+
 const WHILE = { fromMs: 3_000, untilMs: 10_000 } as const;
 
 /** Patterns by name. */
@@ -107,4 +136,15 @@
     bursts: [{ factor: 2, fromMs: 5_000, untilMs: 6_500 }],
     restart: { atMs: 5_000, busyMs: 90, coldForMs: 1_500 },
   },
+  "wide-calm": WIDE,
+  "wide-129": { ...WIDE, shards: 129 },
+  "wide-slow": wideFaulty({ kind: "slow", leafShare: 0.15, strength: 10, ...WHILE }),
+  "wide-slow-twice": wideFaulty(
+    { kind: "slow", leafShare: 0.14, strength: 9, ...WHILE },
+    { kind: "slow", leafShare: 0.14, strength: 9, fromMs: 5_000, untilMs: 10_000 },
+  ),
+  "wide-slow-many": wideFaulty({ kind: "slow", leafShare: 0.4, strength: 12, ...WHILE }),
+  "wide-shed": wideFaulty({ kind: "shed", leafShare: 0.8, strength: 0.6, ...WHILE }),
+  "wide-lose": wideFaulty({ kind: "lose", leafShare: 0.5, strength: 0.4, ...WHILE }),
+  "wide-burst": { ...WIDE, bursts: [{ factor: 1.8, fromMs: 3_000, untilMs: 6_000 }] },
 };
--- a/replay/replay_box.ts
+++ b/replay/replay_box.ts
@@ -40,7 +40,8 @@
 export interface ReplayBoxOptions {
   readonly schedule: Schedule;
   readonly region: number;
-  readonly countBoxes: number;
+  /** Boxes among which the slack of extra calls is split. */
+  readonly slackSharers: number;
   readonly slackCalls: number;
   readonly leafsByService: ReadonlyMap<string, ReadonlyArray<Leaf>>;
   readonly models: ReadonlyMap<string, ReplayLeaf>;
@@ -244,13 +245,13 @@
   }
 
   #newBudgets(): ExtraCallBudgets {
-    const { countBoxes, schedule, slackCalls } = this.#options;
+    const { schedule, slackCalls, slackSharers } = this.#options;
     return new ExtraCallBudgets({
       nowMs: () => schedule.nowMs,
       share: () => EXTRA_SHARE,
       slackCalls: () => slackCalls,
       windowMs: () => WINDOW_MS,
-      slackShare: () => 1 / countBoxes,
+      slackShare: () => 1 / slackSharers,
     });
   }
 }
--- a/replay/run_replay.ts
+++ b/replay/run_replay.ts
@@ -10,13 +10,13 @@
 import type { Route } from "../routing/mod.js";
 import { Schedule } from "../virtual_time/mod.js";
 import { Account, type TryEnd } from "./account.js";
-import { type LoadPattern, QUERY_KINDS, type QueryKind } from "./load_pattern.js";
+import type { LoadPattern, QueryKind } from "./load_pattern.js";
 import type { Without } from "./mechanism.js";
 import { ReplayBox } from "./replay_box.js";
 import { ReplayLeaf } from "./replay_leaf.js";
 import { ReplayQuery } from "./replay_query.js";
 
-/** Regions of a pattern; a shard's two leafs lie in two of them. */
+/** Regions of a pattern. */
 const REGIONS = 3;
 
 /** Spread of the time that leafs work, as the standard deviation of its logarithm. */
@@ -71,10 +71,10 @@
     this.#leafDraws = new Schedule(seed + LEAF_SEEDS);
     this.#services = Array.from({ length: pattern.shards }, (_, index) => `shard ${index}`);
     this.#boxesByRegion = this.#makeBoxes();
-    const routes = QUERY_KINDS.map((kind) => routeOf(kind, this.#services));
+    const routes = pattern.kinds.map((kind) => routeOf(kind, this.#services));
     this.#routes = new Map(routes.map((route) => [route.name, route]));
     this.#allowancesMs = queueAllowancesMs(
-      QUERY_KINDS.map((kind) => ({ ...kind, shards: this.#services })),
+      pattern.kinds.map((kind) => ({ ...kind, shards: this.#services })),
     );
   }
 
@@ -95,21 +95,22 @@
   }
 
   #makeBoxes(): ReadonlyArray<ReadonlyArray<ReplayBox>> {
-    const { boxesInRegion, slackCalls, slots } = this.#pattern;
+    const { boxesInRegion, leafRegions, slackCalls, slackSharers, slots } = this.#pattern;
     const leafsByService = new Map<string, ReadonlyArray<Leaf>>();
     const models = new Map<string, ReplayLeaf>();
     for (const [index, service] of this.#services.entries()) {
-      const regions = [index % REGIONS, (index + 1) % REGIONS];
-      const leafs = regions.map((region, copy) => leafOf(service, { copy, region, slots }));
+      const leafs = [0, 1].map((copy) => {
+        const region = leafRegions[(index + copy) % leafRegions.length] ?? 0;
+        return leafOf(service, { copy, region, slots });
+      });
       leafsByService.set(service, leafs);
       for (const { leafId } of leafs) {
         models.set(leafId, this.#makeLeaf());
       }
     }
-    const countBoxes = REGIONS * boxesInRegion;
     return Array.from({ length: REGIONS }, (_, region) => {
       return Array.from({ length: boxesInRegion }, () => {
-        const given = { countBoxes, slackCalls, leafsByService, models };
+        const given = { slackSharers, slackCalls, leafsByService, models };
         return new ReplayBox({
           ...{ schedule: this.#schedule, region, without: this.#without },
           ...given,
@@ -208,13 +209,13 @@
 
   #drawKind(): QueryKind {
     let left = uniform(this.#callerDraws);
-    for (const kind of QUERY_KINDS) {
+    for (const kind of this.#pattern.kinds) {
       left -= kind.share;
       if (left <= 0) {
         return kind;
       }
     }
-    return this.#schedule.pick(QUERY_KINDS);
+    return this.#schedule.pick(this.#pattern.kinds);
   }
 
   /** Log-normal around the kind's mean (Box and Muller, 1958). */
