--- a/box/box_report.ts
+++ b/box/box_report.ts
@@ -39,6 +39,7 @@
 /** Another box as this one knows it. */
 export interface MemberReport {
   readonly box: string;
+  readonly dataCentre: string;
   readonly state: MemberState;
   readonly address: string;
   readonly peerPort: number;
@@ -102,8 +103,8 @@
   };
 }
 
-function reportMember({ box, state, address, peerPort }: Member): MemberReport {
-  return { box, state, address, peerPort };
+function reportMember({ box, dataCentre, state, address, peerPort }: Member): MemberReport {
+  return { box, dataCentre, state, address, peerPort };
 }
 
 function reportLeafs(reported: ReportedBox): ReadonlyArray<LeafReport> {
--- a/cli/_entry_http.ts
+++ b/cli/_entry_http.ts
@@ -17,6 +17,8 @@
   readonly method: "GET" | "POST" | "PUT" | "DELETE";
   readonly path: string;
   readonly body?: unknown;
+  /** Time for the whole call, in milliseconds; by default as long as the longest wait of a command. */
+  readonly answerMs?: number;
 }
 
 /** What stops a command; its message is printed as it is. */
@@ -44,11 +46,12 @@
  * @throws CommandError where the entry cannot be reached; nothing is known of the outcome then.
  */
 export async function callEntry(entry: string, call: EntryCall): Promise<EntryAnswer> {
-  const { method, path, body } = call;
+  const { method, path, body, answerMs = ANSWER_MS } = call;
   try {
     const answer = await request(`${entry}${path}`, {
       method,
-      headersTimeout: ANSWER_MS,
+      headersTimeout: answerMs,
+      signal: AbortSignal.timeout(answerMs),
       ...(body === undefined
         ? {}
         : { body: JSON.stringify(body), headers: { "content-type": "application/json" } }),
--- /dev/null
+++ b/cli/_fleet_summary.ts
@@ -0,0 +1,85 @@
+/**
+ * Sums up what many boxes tell of themselves: counts by data centre, and the boxes that differ from the rest.
+ *
+ * @module
+ */
+import type { BoxReport } from "../box/box_report.js";
+
+/** A box that was asked. */
+export interface AskedBox {
+  readonly box: string;
+  readonly dataCentre: string;
+  /** What it told; nothing where it did not answer. */
+  readonly report: BoxReport | undefined;
+}
+
+/** Age of a box's last news at which it counts as cut from the store, in milliseconds. */
+const OLD_NEWS_MS = 10_000;
+
+/** Extra calls that a budget must allow to go unmentioned. */
+export const LOW_BUDGET = 1;
+
+/** A way in which a box may differ from the rest. */
+type Difference = "not answering" | "not ready" | "behind" | "cut from the store" | "budgets spent";
+
+type DifferenceTest = (report: BoxReport, newestVersion: number) => boolean;
+
+const REPORTED_DIFFERENCES: Readonly<Record<Exclude<Difference, "not answering">, DifferenceTest>> =
+  {
+    "not ready": ({ phase }) => phase !== "ready",
+    behind: ({ configuration }, newest) => (configuration?.version ?? 0) < newest,
+    "cut from the store": ({ hearsStore, knownAgoMs }) => !hearsStore && knownAgoMs > OLD_NEWS_MS,
+    "budgets spent": ({ extraCallsLeft }) => {
+      return Object.values(extraCallsLeft).some((calls) => calls < LOW_BUDGET);
+    },
+  };
+
+/**
+ * Tells how a box differs from one that is well and up to date.
+ *
+ * @param asked - The box.
+ * @param newestVersion - Newest version of the configuration that any box has.
+ * @returns Each way in which it differs.
+ */
+export function differencesOf(
+  { report }: AskedBox,
+  newestVersion: number,
+): ReadonlyArray<Difference> {
+  if (report === undefined) {
+    return ["not answering"];
+  }
+  return Object.entries(REPORTED_DIFFERENCES)
+    .filter(([, differs]) => differs(report, newestVersion))
+    .map(([difference]) => difference as Difference);
+}
+
+/**
+ * Tells the newest version of the configuration that any box has.
+ *
+ * @param asked - The boxes.
+ * @returns The version; 0 where none has one.
+ */
+export function newestVersionOf(asked: ReadonlyArray<AskedBox>): number {
+  return Math.max(0, ...asked.map(({ report }) => report?.configuration?.version ?? 0));
+}
+
+/**
+ * Sums up boxes by data centre.
+ *
+ * @param asked - The boxes.
+ * @returns A line for each data centre, in the order of their names.
+ */
+export function summariseFleet(asked: ReadonlyArray<AskedBox>): ReadonlyArray<string> {
+  const newest = newestVersionOf(asked);
+  const dataCentres = [...new Set(asked.map(({ dataCentre }) => dataCentre))].toSorted();
+  return dataCentres.map((dataCentre) => {
+    const here = asked.filter((each) => each.dataCentre === dataCentre);
+    const counts = new Map<Difference, number>();
+    for (const difference of here.flatMap((each) => differencesOf(each, newest))) {
+      counts.set(difference, (counts.get(difference) ?? 0) + 1);
+    }
+    const well = here.filter((each) => differencesOf(each, newest).length === 0).length;
+    const told = [...counts].map(([difference, count]) => `, ${count} ${difference}`).join("");
+    return `${dataCentre}: ${here.length} boxes, ${well} well with configuration ${newest}${told}`;
+  });
+}
--- /dev/null
+++ b/cli/_fleet_summary_test.ts
@@ -0,0 +1,43 @@
+import t from "tap";
+import type { BoxReport } from "../box/box_report.js";
+import { type AskedBox, differencesOf, summariseFleet } from "./_fleet_summary.js";
+
+function reportOf(box: string, fields: Partial<BoxReport> = {}): BoxReport {
+  const configuration = { version: 12, source: "peer", inForceForMs: 5_000 } as const;
+  return {
+    ...{ box, phase: "ready", configuration, leafsRevision: 40, isWatcher: false },
+    ...{ hearsStore: true, knownAgoMs: 800, running: 0, members: [], leafs: [] },
+    extraCallsLeft: { search: 4 },
+    ...fields,
+  };
+}
+
+function asked(box: string, dataCentre: string, fields?: Partial<BoxReport>): AskedBox {
+  return { box, dataCentre, report: reportOf(box, fields) };
+}
+
+const BEHIND = { configuration: { version: 11, source: "store", inForceForMs: 1 } } as const;
+
+t.test("summariseFleet() counts by data centre what differs", async (t) => {
+  const boxes = [
+    ...Array.from({ length: 60 }, (_, index) => asked(`a-${index}`, "hall-a")),
+    asked("a-60", "hall-a", BEHIND),
+    asked("a-61", "hall-a", { phase: "finishing" }),
+    ...Array.from({ length: 30 }, (_, index) => asked(`b-${index}`, "hall-b")),
+    { box: "b-30", dataCentre: "hall-b", report: undefined },
+    asked("b-31", "hall-b", { hearsStore: false, knownAgoMs: 60_000 }),
+    asked("b-32", "hall-b", { extraCallsLeft: { search: 0.2 } }),
+  ];
+  t.same(summariseFleet(boxes), [
+    "hall-a: 62 boxes, 60 well with configuration 12, 1 behind, 1 not ready",
+    "hall-b: 33 boxes, 30 well with configuration 12, 1 not answering, 1 cut from the store, 1 budgets spent",
+  ]);
+});
+
+t.test("differencesOf() names each way in which a box differs", async (t) => {
+  t.same(differencesOf(asked("a", "hall-a"), 12), []);
+  t.same(differencesOf(asked("a", "hall-a", { ...BEHIND, phase: "starting" }), 12), [
+    "not ready",
+    "behind",
+  ]);
+});
--- a/cli/boxes_command.ts
+++ b/cli/boxes_command.ts
@@ -5,40 +5,57 @@
  */
 import { type BoxReport, type LeafReport, REPORT_PATH } from "../box/box_report.js";
 import { callEntry } from "./_entry_http.js";
-import { type Command, type CommandContext, type CommandEnd, EXIT_CODES } from "./command.js";
+import { type AskedBox, differencesOf, newestVersionOf, summariseFleet } from "./_fleet_summary.js";
+import {
+  BOXES_SPECS,
+  type Command,
+  type CommandContext,
+  type CommandEnd,
+  EXIT_CODES,
+} from "./command.js";
 
-/** Calls that a budget must allow to go unmentioned. */
-const LOW_BUDGET = 1;
+/** Time that a box has to tell of itself, in milliseconds; with many boxes some will not answer. */
+const REPORT_MS = 1_200;
 
-/** A box that was asked. */
-interface AskedBox {
-  readonly box: string;
-  readonly report: BoxReport | undefined;
-}
+/** Boxes up to which each has a line of its own. */
+const FEW_BOXES = 12;
 
 async function boxes({ settings, words }: CommandContext): Promise<CommandEnd> {
-  const first = await readReport(settings.entry);
+  const all = await askAll(settings.entry);
+  const chosen = words[0] === undefined ? all : all.filter(({ box }) => box === words[0]);
+  if (chosen.length === 0) {
+    return { exitCode: EXIT_CODES.failed, lines: [`No box "${words[0]}" is known`], data: [] };
+  }
+  const isWell = chosen.every(({ report }) => report !== undefined);
+  const exitCode = isWell ? EXIT_CODES.ok : EXIT_CODES.failed;
+  const withLeafs = words[0] !== undefined;
+  const isSummary = chosen.length > FEW_BOXES && !settings.all;
+  const newest = newestVersionOf(chosen);
+  const shown = isSummary
+    ? chosen.filter((each) => differencesOf(each, newest).length > 0)
+    : chosen;
+  const summary = isSummary ? summariseFleet(chosen) : [];
+  const lines = [...summary, ...shown.flatMap((each) => describe(each, { withLeafs }))];
+  return { exitCode, lines, data: chosen };
+}
+
+/** Asks one box, and through its list all others; one that does not answer holds up none of them. */
+async function askAll(url: string): Promise<ReadonlyArray<AskedBox>> {
+  const first = await readReport(url);
+  const self = first.members.find(({ box }) => box === first.box);
   const others = first.members.filter(({ box, state }) => box !== first.box && state !== "dead");
   const asked = await Promise.all(
-    others.map(async ({ box, address, peerPort }): Promise<AskedBox> => {
+    others.map(async ({ box, dataCentre, address, peerPort }): Promise<AskedBox> => {
       const report = await readReport(`http://${address}:${peerPort}`).catch(() => undefined);
-      return { box, report };
+      return { box, dataCentre, report };
     }),
   );
-  const all = [{ box: first.box, report: first }, ...asked];
-  const chosen = words[0] === undefined ? all : all.filter(({ box }) => box === words[0]);
-  const lines = chosen.flatMap((each) => describe(each, { withLeafs: words[0] !== undefined }));
-  const isWell = chosen.length > 0 && chosen.every(({ report }) => report !== undefined);
-  const exitCode = isWell ? EXIT_CODES.ok : EXIT_CODES.failed;
-  return {
-    exitCode,
-    lines: chosen.length > 0 ? lines : [`No box "${words[0]}" is known`],
-    data: chosen,
-  };
+  return [{ box: first.box, dataCentre: self?.dataCentre ?? "", report: first }, ...asked];
 }
 
 async function readReport(url: string): Promise<BoxReport> {
-  const { body } = await callEntry(url, { method: "GET", path: REPORT_PATH });
+  const call = { method: "GET", path: REPORT_PATH, answerMs: REPORT_MS } as const;
+  const { body } = await callEntry(url, call);
   return body as BoxReport;
 }
 
@@ -78,10 +95,10 @@
 export const BOXES_COMMANDS: Readonly<Record<string, Command>> = {
   boxes: {
     usage: "[BOX]",
-    help: "Shows the boxes of the users' platform, asked at one's port for peers; with BOX its leafs too",
+    help: "Sums up the boxes of the users' platform by data centre and shows those that differ, asked at one's port for peers; with BOX its leafs too",
     wordCount: 0,
     optionalWordCount: 1,
-    specs: {},
+    specs: BOXES_SPECS,
     run: boxes,
   },
 };
--- a/cli/command.ts
+++ b/cli/command.ts
@@ -102,8 +102,19 @@
   },
 } as const satisfies SettingSpecs;
 
+/** Flags of the command that shows boxes. */
+export const BOXES_SPECS = {
+  all: { kind: "flag", help: "A line for each box, also where there are many", fallback: "false" },
+} as const satisfies SettingSpecs;
+
 /** All flags. */
-export const ALL_SPECS = { ...COMMON_SPECS, ...SUBMIT_SPECS, ...QUERY_SPECS, ...POLICY_SPECS };
+export const ALL_SPECS = {
+  ...COMMON_SPECS,
+  ...SUBMIT_SPECS,
+  ...QUERY_SPECS,
+  ...POLICY_SPECS,
+  ...BOXES_SPECS,
+};
 
 /** All flags as read; a command uses those it names. */
 export type CommandSettings = Settings<typeof ALL_SPECS>;
