--- a/cli/boxes_command.ts
+++ b/cli/boxes_command.ts
@@ -5,7 +5,13 @@
  */
 import { type BoxReport, type LeafReport, REPORT_PATH } from "../box/box_report.js";
 import { callEntry } from "./_entry_http.js";
-import { type AskedBox, differencesOf, newestVersionOf, summariseFleet } from "./_fleet_summary.js";
+import {
+  type AskedBox,
+  differencesOf,
+  LOW_BUDGET,
+  newestVersionOf,
+  summariseFleet,
+} from "./_fleet_summary.js";
 import {
   BOXES_SPECS,
   type Command,
