--- a/box/box_shell.ts
+++ b/box/box_shell.ts
@@ -5,12 +5,13 @@
  */
 import type { Server } from "node:http";
 import { LeafCalls } from "../calls/mod.js";
-import { ExtraCallBudgets } from "../extra_calls/mod.js";
+import type { ExtraCallBudgets } from "../extra_calls/mod.js";
 import { waitedMs } from "../latency/mod.js";
 import type { Member } from "../model/mod.js";
 import { type BoxSettings, StoreClient } from "../platform/mod.js";
 import { RelayCalls } from "../relay/mod.js";
 import { listen } from "./_listen.js";
+import { makeBudgets } from "./_make_budgets.js";
 import { makeFleetLink } from "./_make_fleet_link.js";
 import { makeRunner } from "./_make_runner.js";
 import { AdaptiveTimer } from "./adaptive_timer.js";
@@ -123,13 +124,7 @@
       onBusy: () => this.#tidyTimer.hurry(),
       onEnd: (result) => telemetry.attempts.add(result),
     });
-    this.#budgets = new ExtraCallBudgets({
-      nowMs,
-      share: () => this.#settings.extraCallShare,
-      slackCalls: () => this.#settings.extraCallSlack,
-      windowMs: () => this.#settings.extraCallWindowMs,
-      slackShare: () => this.#view.slackShare(),
-    });
+    this.#budgets = makeBudgets({ settings: () => this.#settings, view: this.#view, nowMs });
     const places = new RelayPlaces({
       dataCentre: settings.dataCentre,
       regionOf: (dataCentre) => settings.regions.get(dataCentre) ?? dataCentre,
--- a/calls/leaf_calls.ts
+++ b/calls/leaf_calls.ts
@@ -47,8 +47,8 @@
 }
 
 /**
- * What this box has with one incarnation of a leaf. Calls keep hold of it to their end, so that one that was sent
- * to a former incarnation shows nothing of the next.
+ * What this box has with one incarnation of a leaf. Calls keep hold of it to their end, so that one that was
+ * sent to a former incarnation shows nothing of the next.
  */
 interface LeafIncarnation {
   condition: LeafCondition;
--- a/request/_attempts.ts
+++ b/request/_attempts.ts
@@ -3,23 +3,16 @@
  *
  * @module
  */
-import {
-  decisiveQueueMs,
-  findOverload,
-  isHopeless,
-  type Overload,
-  overloadRetryMs,
-} from "../admission/mod.js";
 import { forEachStep, type Step, step } from "../core/mod.js";
 import type { ExtraCallKind } from "../limits/mod.js";
-import { canReachLeastShare, hasLeastShareWithout, leastParts } from "./_judge.js";
-import { type CallPlan, planCalls, type RelayCall } from "./_plan.js";
+import { canReachLeastShare, hasLeastShareWithout } from "./_judge.js";
+import { planCalls, type RelayCall } from "./_plan.js";
+import { refusePlan, waitsOf } from "./_refusals.js";
 import { loseShard, openAttempt, updateShard } from "./_shards.js";
 import type {
   AskingKind,
   Attempt,
   LeafChoice,
-  Reply,
   RequestEffect,
   RequestState,
   RequestWorld,
@@ -58,11 +51,9 @@
 export function askFirst(first: AttemptStep, world: RequestWorld): AttemptStep {
   const plan = planCalls(first.state, world);
   const waits = waitsOf(plan, first.state, world);
-  if (findOverload(waits) !== undefined) {
-    return refuseOverloaded(first, waits);
-  }
-  if (isPlanHopeless(plan, first.state, world)) {
-    return refuseHopeless(first);
+  const refused = refusePlan(first, { plan, waits, world });
+  if (refused !== undefined) {
+    return refused;
   }
   const crowded = waits.queueMs > waits.mostQueueMs;
   const { direct, relays, unserved } = plan;
@@ -78,59 +69,6 @@
   return forEachStep(called, relays, (now, relay) => sendRelay(now, relay, world));
 }
 
-/** Tells the queues at the leafs that a query would be sent to; a request to a single leaf looks at none. */
-function waitsOf(
-  { direct, relays }: CallPlan,
-  { shards, terms }: RequestState,
-  world: RequestWorld,
-): Overload {
-  const { mostQueueMs } = terms;
-  if (terms.route.target.kind !== "gather") {
-    return { mostQueueMs, queueMs: 0, standingMs: 0 };
-  }
-  const calls = [...direct, ...relays.flatMap((relay) => relay.calls)];
-  const queueMs = decisiveQueueMs(calls.map(({ leaf }) => leaf.queueMs));
-  const standingMs = world.noteQueue(shards[0]?.service ?? "", queueMs);
-  return { mostQueueMs, queueMs, standingMs };
-}
-
-/** Nothing has been sent, so it is true that the request has not run. */
-function refuseOverloaded({ effects, state }: AttemptStep, overload: Overload): AttemptStep {
-  const retryAfterMs = overloadRetryMs(overload);
-  const reply: Reply = { kind: "notRun", reason: "leafs are overloaded", retryAfterMs, overload };
-  return step({ ...state, done: true }, ...effects, { kind: "reply", reply });
-}
-
-/** Whether so many of the planned calls will come to nothing that the least share is not to be expected. */
-function isPlanHopeless(
-  { direct, relays }: CallPlan,
-  { shards, terms }: RequestState,
-  world: RequestWorld,
-): boolean {
-  const { target } = terms.route;
-  if (target.kind !== "gather") {
-    return false;
-  }
-  const calls = [...direct, ...relays.flatMap((relay) => relay.calls)];
-  const chances = calls.map(({ leaf, shardIndex }) => ({
-    lossShare: leaf.lossShare,
-    extraCallsLeft: world.extraCallsLeft(shards[shardIndex]?.service ?? ""),
-  }));
-  return isHopeless(chances, leastParts({ shards }, target));
-}
-
-/**
- * When a query may come back that was refused for the losses of its leafs, in milliseconds: what is known of
- * losses fades within three seconds, and budgets refill all the while.
- */
-const HOPELESS_RETRY_MS = 500;
-
-function refuseHopeless({ effects, state }: AttemptStep): AttemptStep {
-  const reason = "too many parts would be lost";
-  const reply: Reply = { kind: "notRun", reason, retryAfterMs: HOPELESS_RETRY_MS };
-  return step({ ...state, done: true }, ...effects, { kind: "reply", reply });
-}
-
 function sendRelay(
   state: RequestState,
   { box, calls }: RelayCall,
