Log what a query was refused by whose parts would be lost

Cause: the line of such a refusal gave the reason and the time to come back, not the parts to be expected and needed, by which it was decided.

--- a/admission/hopeless_query.ts
+++ b/admission/hopeless_query.ts
@@ -18,6 +18,14 @@
   readonly extraCallsLeft: number;
 }
 
+/** Why a query was not begun: too few of its parts were to be expected. */
+export interface PartsShortfall {
+  /** Parts to be expected, one standard deviation added. */
+  readonly expectedParts: number;
+  /** Parts without which there is no answer. */
+  readonly leastParts: number;
+}
+
 /** Extra calls that a shard of one query makes at most before its answer is late. */
 const MOST_EXTRA = 3;
 
@@ -27,9 +35,12 @@
  *
  * @param chances - What is to be expected of each shard that is asked.
  * @param leastParts - Parts without which there is no answer.
- * @returns Whether it is hopeless.
+ * @returns The shortfall; nothing where the query has a chance.
  */
-export function isHopeless(chances: ReadonlyArray<ShardChance>, leastParts: number): boolean {
+export function findShortfall(
+  chances: ReadonlyArray<ShardChance>,
+  leastParts: number,
+): PartsShortfall | undefined {
   let mean = 0;
   let variance = 0;
   for (const { extraCallsLeft, lossShare } of chances) {
@@ -38,5 +49,6 @@
     mean += chance;
     variance += chance * (1 - chance);
   }
-  return mean + Math.sqrt(variance) < leastParts;
+  const expectedParts = mean + Math.sqrt(variance);
+  return expectedParts < leastParts ? { expectedParts, leastParts } : undefined;
 }
--- a/box/request_intake.ts
+++ b/box/request_intake.ts
@@ -140,7 +140,7 @@
     this.#options.telemetry.requestLine("request: answered", {
       outcome: reply.kind,
       ...(reply.kind === "failed" || reply.kind === "notRun" ? { reason: reply.reason } : {}),
-      ...(reply.kind === "notRun" ? { retryAfterMs: reply.retryAfterMs, ...reply.overload } : {}),
+      ...(reply.kind === "notRun" ? refusalFields(reply) : {}),
       ...(reply.kind === "passed" ? { statusCode: reply.answer.statusCode } : {}),
       ...this.#accountFields(account, version),
     });
@@ -170,3 +170,12 @@
     };
   }
 }
+
+/** When a refused caller may come back, and what the refusal was decided by. */
+function refusalFields({
+  overload,
+  retryAfterMs,
+  shortfall,
+}: Extract<Reply, { readonly kind: "notRun" }>): LogFields {
+  return { retryAfterMs, ...overload, ...shortfall };
+}
--- a/request/_refusals.ts
+++ b/request/_refusals.ts
@@ -7,9 +7,10 @@
 import {
   decisiveQueueMs,
   findOverload,
-  isHopeless,
+  findShortfall,
   type Overload,
   overloadRetryMs,
+  type PartsShortfall,
 } from "../admission/mod.js";
 import { type Step, step } from "../core/mod.js";
 import { leastParts } from "./_judge.js";
@@ -65,9 +66,12 @@
       overload: waits,
     });
   }
-  return isPlanHopeless(plan, first.state, world)
-    ? refuse(first, { reason: "too many parts would be lost", retryAfterMs: HOPELESS_RETRY_MS })
-    : undefined;
+  const shortfall = shortfallOf(plan, first.state, world);
+  if (shortfall === undefined) {
+    return undefined;
+  }
+  const reason = "too many parts would be lost";
+  return refuse(first, { reason, retryAfterMs: HOPELESS_RETRY_MS, shortfall });
 }
 
 /**
@@ -76,21 +80,21 @@
  */
 const HOPELESS_RETRY_MS = 500;
 
-/** Whether so many of the planned calls will come to nothing that the least share is not to be expected. */
-function isPlanHopeless(
+/** Finds whether so many of the planned calls will come to nothing that the least share is not to be expected. */
+function shortfallOf(
   plan: CallPlan,
   { shards, terms }: RequestState,
   world: RequestWorld,
-): boolean {
+): PartsShortfall | undefined {
   const { target } = terms.route;
   if (target.kind !== "gather") {
-    return false;
+    return undefined;
   }
   const chances = callsOf(plan).map(({ leaf, shardIndex }) => ({
     lossShare: leaf.lossShare,
     extraCallsLeft: world.extraCallsLeft(shards[shardIndex]?.service ?? ""),
   }));
-  return isHopeless(chances, leastParts({ shards }, target));
+  return findShortfall(chances, leastParts({ shards }, target));
 }
 
 function callsOf({ direct, relays }: CallPlan): ReadonlyArray<DirectCall> {
--- a/request/hopeless_query_test.ts
+++ b/request/hopeless_query_test.ts
@@ -8,6 +8,7 @@
   t.same(calls(driver.effects), [], "nothing is sent");
   const reply = replyOf(driver.effects);
   t.match(reply, { kind: "notRun", reason: "too many parts would be lost" });
+  t.ok(reply?.kind === "notRun" && reply.shortfall, "the log tells what was to be expected");
   t.ok(reply?.kind === "notRun" && reply.retryAfterMs > 0, "the caller learns when to come back");
 });
 
--- a/request/request_state.ts
+++ b/request/request_state.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { Overload } from "../admission/mod.js";
+import type { Overload, PartsShortfall } from "../admission/mod.js";
 import type { ExtraCallKind } from "../limits/mod.js";
 import type { Route } from "../routing/mod.js";
 
@@ -152,6 +152,8 @@
       readonly retryAfterMs: number;
       /** The queues that it was refused for, for the log. */
       readonly overload?: Overload;
+      /** The parts that it was refused for, for the log. */
+      readonly shortfall?: PartsShortfall;
     }
   /** It may have run and there is no answer. */
   | { readonly kind: "failed"; readonly reason: "deadline" | "leafs failed" };
