Tell in a request's line what it asks for and how many leafs were lost under it

Cause: which requests were repeats of one another could not be told from the logs, nor how many leafs ended under one; the incident's hypotheses could not be told apart by them. Change: a fingerprint of method, caller, path and body, the same for each repeat, and the number of leafs whose connection ended before an answer; rackvale explain shows both.

--- a/box/_runner_options.ts
+++ b/box/_runner_options.ts
@@ -17,6 +17,8 @@
   /** Headers that are passed on, names and values by turns. */
   readonly headers: ReadonlyArray<string>;
   readonly body: Buffer | undefined;
+  /** The same for all requests that ask for the same thing. */
+  readonly fingerprint: string;
 }
 
 /** What the runner needs of its box. */
--- a/box/caller_server.ts
+++ b/box/caller_server.ts
@@ -12,6 +12,7 @@
   encodeReply,
   passedHeaders,
 } from "../platform/mod.js";
+import { requestFingerprint } from "../quarantine/mod.js";
 import type { Reply } from "../request/mod.js";
 import type { CallerLimits } from "../routing/mod.js";
 import type { ForwardedRequest } from "./_runner_options.js";
@@ -94,16 +95,19 @@
   { request, response, body, arrivedAtMs, opensConnection }: ReadRequest,
   options: CallerServerOptions,
 ): void {
+  const { method = "GET", url: path = "/" } = request;
+  const host = request.headers.host ?? "";
   const forwarded: ForwardedRequest = {
-    method: request.method ?? "GET",
-    path: request.url ?? "/",
+    method,
+    path,
     headers: passedHeaders(request.rawHeaders),
     body,
+    fingerprint: requestFingerprint({ method, caller: host, path, body }),
   };
   const arrived: ArrivedRequest = {
     arrivedAtMs,
     opensConnection,
-    host: request.headers.host ?? "",
+    host,
     terms: decodeCallerTerms(request.headers),
     forwarded,
   };
--- a/box/request_intake.ts
+++ b/box/request_intake.ts
@@ -147,7 +147,10 @@
   }
 
   /** What decided a request, with the age of what the box knew. */
-  #accountFields({ state, notes }: RequestAccount, version: number): LogFields {
+  #accountFields(
+    { fingerprint, lostLeafs, notes, state }: RequestAccount,
+    version: number,
+  ): LogFields {
     const { terms, shards, partsIn, partsLost, nextAttemptId } = state;
     const now = this.#options.nowMs();
     return {
@@ -162,6 +165,8 @@
       partsIn,
       partsLost,
       attempts: nextAttemptId - 1,
+      fingerprint,
+      lostLeafs,
       notes,
       open: shards.flatMap(({ service, open, part, relayed }) => {
         const isIn = part !== undefined || relayed;
--- a/box/request_runner.ts
+++ b/box/request_runner.ts
@@ -48,6 +48,10 @@
   readonly state: RequestState;
   /** Attempts that were not plain, the earliest first. */
   readonly notes: ReadonlyArray<AttemptNote>;
+  /** The same for all requests that ask for the same thing. */
+  readonly fingerprint: string;
+  /** Leafs whose connection ended under it before an answer. */
+  readonly lostLeafs: number;
 }
 
 /** Notes of one request that are kept; a query over many shards may have very many. */
@@ -129,6 +133,7 @@
   readonly #world: RunWorld;
   readonly #orders: RunOrders;
   #notes: ReadonlyArray<AttemptNote> = [];
+  #lostLeafs = 0;
   #state: RequestState;
 
   constructor(options: RunOptions, box: RunnerOptions, onDone: () => void) {
@@ -199,7 +204,8 @@
   };
 
   #account(): RequestAccount {
-    return { state: this.#state, notes: this.#notes };
+    const { fingerprint } = this.#options.forwarded;
+    return { state: this.#state, notes: this.#notes, fingerprint, lostLeafs: this.#lostLeafs };
   }
 
   #note(asked: string, what: string): void {
@@ -228,6 +234,9 @@
   }
 
   #noteEnd(asked: string, outcome: AttemptOutcome): void {
+    if (outcome.kind === "failed" && outcome.connectionLost === true) {
+      this.#lostLeafs += 1;
+    }
     if (outcome.kind !== "answered") {
       this.#note(asked, `${outcome.kind}: ${outcome.reason}`);
     } else if (outcome.answer.statusCode >= 300) {
--- a/box/request_terms_test.ts
+++ b/box/request_terms_test.ts
@@ -23,7 +23,7 @@
     opensConnection,
     host: "h",
     terms: { requestId: "r1", waitMs },
-    forwarded: { method: "GET", path: "/", headers: [], body: undefined },
+    forwarded: { method: "GET", path: "/", headers: [], body: undefined, fingerprint: "f" },
   };
 }
 
--- a/calls/_answer_reader.ts
+++ b/calls/_answer_reader.ts
@@ -122,7 +122,8 @@
   }
 
   onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
-    this.#fail(error.message);
+    const connectionLost = this.#sent && this.#statusCode === 0;
+    this.#end({ kind: "failed", sent: this.#sent, reason: error.message, connectionLost });
   }
 
   #fail(reason: string): void {
--- a/request/request_state.ts
+++ b/request/request_state.ts
@@ -47,6 +47,8 @@
       /** Whether any byte may have reached the leaf. */
       readonly sent: boolean;
       readonly reason: string;
+      /** Whether the leaf's connection ended while the answer was awaited: the leaf may have ended with it. */
+      readonly connectionLost?: boolean;
     };
 
 /** One try to get a shard's part, from a leaf or through a box near its leafs. */
