--- a/bench/standby_cost.ts
+++ b/bench/standby_cost.ts
@@ -103,7 +103,10 @@
     if (self !== undefined) {
       const riders = Array.from({ length: RIDERS }, () => pickFrom(this.#members));
       const progress = { configurationVersion: 1, leafsRevision: 1 };
-      const data = encodeFleetMessage({ kind, number, progress, members: [self, ...riders] });
+      const data = encodeFleetMessage({
+        ...{ kind, number, progress, crashes: [] },
+        members: [self, ...riders],
+      });
       this.#sockets[index]?.send(data, DATAGRAM_PORT, MEASURED_ADDRESS);
     }
   }
--- a/box/_make_fleet_link.ts
+++ b/box/_make_fleet_link.ts
@@ -6,6 +6,7 @@
  */
 import type { Member } from "../model/mod.js";
 import type { BoxSettings } from "../platform/mod.js";
+import type { Quarantine } from "../quarantine/mod.js";
 import type { BoxKnowledge } from "./box_knowledge.js";
 import type { BoxTelemetry } from "./box_telemetry.js";
 import { FleetLink } from "./fleet_link.js";
@@ -13,6 +14,12 @@
 import { PeerCatchUp } from "./peer_catch_up.js";
 import { selfMember } from "./self_member.js";
 
+/**
+ * Most queries under which leafs were lost that a datagram tells of, some 40 bytes each; with the members it
+ * stays below what a link carries in one piece. Others follow with the next ones.
+ */
+const MOST_TOLD_QUERIES = 8;
+
 /** What the link is made from. */
 export interface MakeFleetLinkOptions {
   /** Settings in force; names and addresses are those of the start. */
@@ -21,6 +28,7 @@
   readonly knowledge: BoxKnowledge;
   readonly view: FleetView;
   readonly isNear: (member: Member) => boolean;
+  readonly quarantine: Pick<Quarantine, "hear" | "tell">;
   /** Told when a box has changed. */
   readonly onMember: () => void;
   readonly telemetry: BoxTelemetry;
@@ -33,7 +41,7 @@
  * @returns The link, not yet open.
  */
 export function makeFleetLink(options: MakeFleetLinkOptions): FleetLink {
-  const { isNear, knowledge, nowMs, onMember, settings, telemetry, view } = options;
+  const { isNear, knowledge, nowMs, onMember, quarantine, settings, telemetry, view } = options;
   const { box, datagramPort } = settings();
   const catchUp = new PeerCatchUp({
     box,
@@ -50,6 +58,13 @@
     isNear,
     progress: () => knowledge.progress,
     onProgress: (member, progress) => catchUp.compare(member, progress),
+    crashes: () => quarantine.tell(MOST_TOLD_QUERIES),
+    onCrashes: (told, sender) => {
+      // The sender has told one box of this region.
+      if (quarantine.hear(told) && sender !== undefined && !isNear(sender)) {
+        fleet.tell(view.others());
+      }
+    },
     onMember: ({ box: member, state, incarnation }) => {
       onMember();
       telemetry.event("info", "fleet: box changed", { member, state, incarnation });
--- /dev/null
+++ b/box/_make_quarantine.ts
@@ -0,0 +1,63 @@
+/**
+ * Makes a box's quarantine: writes a line for each change, takes back what waits, and tells other boxes.
+ *
+ * @module
+ */
+import type { LeafCalls } from "../calls/mod.js";
+import { rendezvousRank } from "../hashing/mod.js";
+import type { Member } from "../model/mod.js";
+import { type CrashRecord, Quarantine, type Standing } from "../quarantine/mod.js";
+import type { BoxTelemetry } from "./box_telemetry.js";
+
+/** What the quarantine is tied to. */
+export interface MakeQuarantineOptions {
+  readonly box: string;
+  readonly nowMs: () => number;
+  /** Boxes that can be given work. */
+  readonly alive: () => ReadonlyArray<Member>;
+  readonly calls: () => Pick<LeafCalls, "holdWaiting">;
+  /** Tells other boxes at once. */
+  readonly tell: () => void;
+  /** Keeps a query that is quarantined beyond the life of all boxes. */
+  readonly keep: (record: CrashRecord) => void;
+  readonly telemetry: Pick<BoxTelemetry, "event" | "quarantineChanges">;
+}
+
+const SENTENCES: Readonly<Record<Standing, string>> = {
+  suspected: "quarantine: query suspected, leafs were lost under it",
+  quarantined: "quarantine: query is not sent any more",
+  cleared: "quarantine: query cleared",
+};
+
+/**
+ * Makes the quarantine.
+ *
+ * @param options - What it is tied to.
+ * @returns The quarantine.
+ */
+export function makeQuarantine(options: MakeQuarantineOptions): Quarantine {
+  const { alive, box, calls, keep, nowMs, tell, telemetry } = options;
+  return new Quarantine({
+    nowMs,
+    isTrialBox: (fingerprint) => {
+      const ids = alive().map(({ memberId }) => memberId);
+      return rendezvousRank(fingerprint, ids)[0] === box;
+    },
+    onChange: ({ record, before, source, isNews }) => {
+      const { fingerprint, lostLeafs, lostTrials, standing } = record;
+      if (standing !== before?.standing) {
+        const fields = { fingerprint, lostLeafs, lostTrials, source, before: before?.standing };
+        telemetry.event("warn", SENTENCES[standing], {
+          ...fields,
+          suspectedAgoMs: Math.round(nowMs() - record.suspectedAtMs),
+        });
+        telemetry.quarantineChanges.add(standing);
+        calls().holdWaiting(fingerprint);
+      }
+      if (isNews && source === "own") {
+        tell();
+        keep(record);
+      }
+    },
+  });
+}
--- a/box/_run_orders.ts
+++ b/box/_run_orders.ts
@@ -5,6 +5,7 @@
  */
 import type { LeafCalls, OpenCall } from "../calls/mod.js";
 import type { Member } from "../model/mod.js";
+import type { Quarantine } from "../quarantine/mod.js";
 import type { RelayCalls, RelayOrder } from "../relay/mod.js";
 import {
   type AttemptOutcome,
@@ -23,6 +24,7 @@
 export interface RunOrdersOptions {
   readonly nowMs: () => number;
   readonly calls: LeafCalls;
+  readonly quarantine: Pick<Quarantine, "hearHeld" | "noteAnswered" | "noteLost">;
   readonly relays: RelayCalls;
   readonly terms: RequestTerms;
   readonly forwarded: ForwardedRequest;
@@ -38,7 +40,13 @@
 const MISSING = lostPartOutcome("failed");
 
 /** What a lost part says of the leaf that was expected to be asked. */
-const LOST_RESULTS = { declined: "full", refused: "full", failed: "failed" } as const;
+const LOST_RESULTS = {
+  declined: "full",
+  refused: "full",
+  failed: "failed",
+  "connection lost": "failed",
+  held: "abandoned",
+} as const;
 
 /** Orders of one request to other boxes. */
 export class RunOrders {
@@ -157,6 +165,22 @@
     );
   }
 
+  /** What the parts say of the query, before it is decided what is asked next. */
+  #noteForQuery({ signatures, lost }: RelayedParts): void {
+    const { quarantine, forwarded } = this.#options;
+    const { fingerprint } = forwarded;
+    if (signatures.size > 0) {
+      quarantine.noteAnswered(fingerprint);
+    }
+    for (const why of lost.values()) {
+      if (why === "connection lost") {
+        quarantine.noteLost({ fingerprint, isTrial: false });
+      } else if (why === "held") {
+        quarantine.hearHeld(fingerprint);
+      }
+    }
+  }
+
   #noteParts(box: string, parts: RelayedParts, notes: LeafNotes): void {
     for (const service of parts.signatures.keys()) {
       notes.get(service)?.("answered");
@@ -164,6 +188,7 @@
     for (const [service, why] of parts.lost) {
       notes.get(service)?.(LOST_RESULTS[why]);
     }
+    this.#noteForQuery(parts);
     const reasons = [...parts.lost.values()];
     for (const why of new Set(reasons)) {
       this.#options.note(box, `${why} ${reasons.filter((each) => each === why).length}`);
--- a/box/_run_world.ts
+++ b/box/_run_world.ts
@@ -6,9 +6,18 @@
 import { type ChoiceView, chooseLeaf, type Leaf, type Placement } from "../leafs/mod.js";
 import type { ExtraCallKind } from "../limits/mod.js";
 import type { Member } from "../model/mod.js";
+import type { Calling } from "../quarantine/mod.js";
 import type { BoxChoice, LeafChoice, RequestWorld } from "../request/mod.js";
 import type { RunnerOptions } from "./_runner_options.js";
 
+/** The request that decides. */
+export interface RunWorldOptions {
+  /** The same for all requests that ask for the same thing. */
+  readonly fingerprint: string;
+  /** How the request's policy places calls. */
+  readonly placement: Placement;
+}
+
 /** The box as one request sees it. */
 export class RunWorld implements RequestWorld {
   /** Moment of the event that is being taken. */
@@ -16,6 +25,7 @@
   waitedMs = 0;
   readonly #box: RunnerOptions;
   readonly #placement: Placement;
+  readonly #fingerprint: string;
   readonly #chosenBoxes = new Map<string, Member>();
   readonly #condition: ChoiceView["condition"];
   readonly #distance: ChoiceView["distance"];
@@ -25,10 +35,11 @@
 
   /**
    * @param box - What the runner has of its box.
-   * @param placement - How the request's policy places calls.
+   * @param options - The request.
    */
-  constructor(box: RunnerOptions, placement: Placement) {
+  constructor(box: RunnerOptions, { fingerprint, placement }: RunWorldOptions) {
     this.#box = box;
+    this.#fingerprint = fingerprint;
     this.#placement = placement;
     this.#condition = (leafId) => box.calls.condition(leafId);
     this.#distance = (leaf) => box.places.distance(leaf);
@@ -85,6 +96,18 @@
     return queueMs;
   }
 
+  calling(): Calling {
+    return this.#box.quarantine.calling(this.#fingerprint);
+  }
+
+  beginTrial(): void {
+    this.#box.quarantine.beginTrial(this.#fingerprint);
+  }
+
+  heldForMs(): number {
+    return this.#box.quarantine.retryAfterMs(this.#fingerprint);
+  }
+
   noteQueue(index: string, queueMs: number): number {
     return this.#box.noteQueue(index, queueMs);
   }
--- a/box/_runner_options.ts
+++ b/box/_runner_options.ts
@@ -6,6 +6,7 @@
 import type { LeafCalls } from "../calls/mod.js";
 import type { LeafTable } from "../leafs/mod.js";
 import type { ExtraCallKind } from "../limits/mod.js";
+import type { Quarantine } from "../quarantine/mod.js";
 import type { RelayCalls } from "../relay/mod.js";
 import type { RelayPlaces } from "./relay_places.js";
 
@@ -30,6 +31,7 @@
   readonly leafs: () => LeafTable;
   readonly places: RelayPlaces;
   readonly relays: RelayCalls;
+  readonly quarantine: Quarantine;
   /** Notes the wait at an index's leafs; tells the one that all the latest looks have found. */
   readonly noteQueue: (index: string, queueMs: number) => number;
   readonly creditRequest: (service: string) => void;
--- a/box/box_shell.ts
+++ b/box/box_shell.ts
@@ -9,10 +9,12 @@
 import { waitedMs } from "../latency/mod.js";
 import type { Member } from "../model/mod.js";
 import { type BoxSettings, StoreClient } from "../platform/mod.js";
+import type { Quarantine } from "../quarantine/mod.js";
 import { RelayCalls } from "../relay/mod.js";
 import { listen } from "./_listen.js";
 import { makeBudgets } from "./_make_budgets.js";
 import { makeFleetLink } from "./_make_fleet_link.js";
+import { makeQuarantine } from "./_make_quarantine.js";
 import { makeRunner } from "./_make_runner.js";
 import { AdaptiveTimer } from "./adaptive_timer.js";
 import { BoxKnowledge } from "./box_knowledge.js";
@@ -69,6 +71,7 @@
     waitedMs,
     onBusy: () => this.#tidyTimer.hurry(),
   });
+  readonly #quarantine: Quarantine;
   readonly #budgets: ExtraCallBudgets;
   readonly #runner: RequestRunner;
   readonly #fleet: FleetLink;
@@ -114,7 +117,17 @@
         this.#learned();
       },
     });
+    this.#quarantine = makeQuarantine({
+      box: settings.box,
+      nowMs,
+      alive: () => this.#fleet.alive(),
+      calls: () => this.#calls,
+      tell: () => this.#fleet.tell(this.#view.hearers()),
+      keep: () => undefined,
+      telemetry,
+    });
     this.#calls = new LeafCalls({
+      quarantine: this.#quarantine,
       nowMs,
       waitedMs,
       connectionsTo: (service) => {
@@ -138,6 +151,7 @@
       places,
       relays: this.#relays,
       budgets: this.#budgets,
+      quarantine: this.#quarantine,
       telemetry,
     });
     const isNear = ({ dataCentre }: Member): boolean => places.isNear(dataCentre);
@@ -147,6 +161,7 @@
       knowledge: this.#knowledge,
       view: this.#view,
       isNear,
+      quarantine: this.#quarantine,
       onMember: () => {
         this.#view.changed();
         this.#tidyTimer.hurry();
--- a/box/box_telemetry.ts
+++ b/box/box_telemetry.ts
@@ -56,6 +56,7 @@
   readonly attempts: Tally;
   readonly extraCalls: Tally;
   readonly relayedParts: Counter;
+  readonly quarantineChanges: Tally;
   readonly storeAnswers: Counter<"kind" | "outcome">;
   /** Shows what this box has of the store now. */
   noteStore(store: StoreView): void;
@@ -144,6 +145,12 @@
       help: "Parts that this box got and merged for boxes of other regions",
       registers,
     }),
+    quarantineChanges: tally({
+      name: "rackvale_quarantine_changes_total",
+      help: "Queries under which leafs were lost, by what is believed of them from then on",
+      labelName: "standing",
+      registers,
+    }),
     storeAnswers: new Counter({
       name: "rackvale_store_answers_total",
       help: "Lists and watches of the platform's store that ended, by kind of object and outcome",
--- a/box/fleet_link.ts
+++ b/box/fleet_link.ts
@@ -15,6 +15,7 @@
   takeRiders,
 } from "../membership/mod.js";
 import type { Member, MemberState } from "../model/mod.js";
+import type { ToldCrashes } from "../quarantine/mod.js";
 import {
   decodeFleetMessage,
   encodeFleetMessage,
@@ -45,6 +46,10 @@
   readonly isNear: (member: Member) => boolean;
   readonly nowMs: () => number;
   readonly progress: () => Progress;
+  /** Gives queries under which leafs were lost, no more than go into a datagram. */
+  readonly crashes: () => ReadonlyArray<ToldCrashes>;
+  /** Told of such queries by another box. */
+  readonly onCrashes: (told: ReadonlyArray<ToldCrashes>, sender: Member | undefined) => void;
   /** Told how far another box is. */
   readonly onProgress: (member: Member, progress: Progress) => void;
   /** Told when a member's state changes, as this box believes it. */
@@ -113,10 +118,10 @@
    * @param members - The boxes.
    */
   tell(members: ReadonlyArray<Member>): void {
-    const { port, progress } = this.#options;
+    const { crashes, port, progress } = this.#options;
     const { self } = this.#membership;
-    const message = { kind: "news", number: 0, members: [self], progress: progress() } as const;
-    const data = encodeFleetMessage(message);
+    const known = { progress: progress(), crashes: crashes() };
+    const data = encodeFleetMessage({ kind: "news", number: 0, members: [self], ...known });
     for (const { address } of members) {
       this.#socket.send(data, port, address);
     }
@@ -186,7 +191,8 @@
     const { membership, riders } = takeRiders(this.#membership, pick);
     this.#membership = membership;
     const members = [membership.self, ...riders];
-    const message = { kind, number, members, progress: this.#options.progress() };
+    const { crashes, progress } = this.#options;
+    const message = { kind, number, members, progress: progress(), crashes: crashes() };
     this.#socket.send(encodeFleetMessage(message), this.#options.port, address);
   }
 
@@ -200,13 +206,16 @@
     const heard = hearMembers(this.#membership, message.members, { nowMs: nowMs() });
     this.#membership = heard.membership;
     heard.changed.forEach(onMember);
+    const sender = message.members[0];
+    if (message.crashes.length > 0) {
+      this.#options.onCrashes(message.crashes, sender);
+    }
     if (message.kind === "ask") {
       this.#send("answer", message.number, address);
     } else if (message.number === this.#asked?.number) {
       this.#asked = undefined;
       clearTimeout(this.#askAgainTimer);
     }
-    const sender = message.members[0];
     if (sender !== undefined) {
       onProgress(sender, message.progress);
     }
--- a/box/fleet_messages.ts
+++ b/box/fleet_messages.ts
@@ -7,6 +7,7 @@
  */
 import { deflateRawSync, inflateRawSync } from "node:zlib";
 import type { Member, MemberState } from "../model/mod.js";
+import type { Standing, ToldCrashes } from "../quarantine/mod.js";
 
 /** How far a box is with what lasts in the store. */
 export interface Progress {
@@ -27,6 +28,8 @@
   readonly progress: Progress;
   /** The sender first, then others that it tells of. */
   readonly members: ReadonlyArray<Member>;
+  /** Queries under which leafs were lost. */
+  readonly crashes: ReadonlyArray<ToldCrashes>;
 }
 
 /** Largest datagram taken, inflated, in bytes. */
@@ -62,6 +65,17 @@
   configurationVersion: number,
   leafsRevision: number,
   members: ReadonlyArray<MemberFields>,
+  /** Left out where there are none. */
+  crashes?: ReadonlyArray<CrashFields>,
+];
+
+type CrashFields = readonly [
+  fingerprint: string,
+  standing: Standing,
+  lostLeafs: number,
+  lostTrials: number,
+  suspectedAgoMs: number,
+  changedAgoMs: number,
 ];
 
 /**
@@ -70,10 +84,12 @@
  * @param message - What it says.
  * @returns Its bytes.
  */
-export function encodeFleetMessage({ kind, number, progress, members }: FleetMessage): Buffer {
+export function encodeFleetMessage(message: FleetMessage): Buffer {
+  const { kind, number, progress, members, crashes } = message;
   const { configurationVersion, leafsRevision } = progress;
   const listed = members.map(toFields);
-  const fields: MessageFields = [kind, number, configurationVersion, leafsRevision, listed];
+  const told = crashes.length === 0 ? [] : [crashes.map(toCrashFields)];
+  const fields = [kind, number, configurationVersion, leafsRevision, listed, ...told];
   return deflateRawSync(JSON.stringify(fields), DEFLATE);
 }
 
@@ -87,14 +103,31 @@
   try {
     const text = inflateRawSync(data, INFLATE).toString("utf8");
     const fields = JSON.parse(text) as MessageFields;
-    const [kind, number, configurationVersion, leafsRevision, listed] = fields;
+    const [kind, number, configurationVersion, leafsRevision, listed, told = []] = fields;
     const progress = { configurationVersion, leafsRevision };
-    return { kind, number, progress, members: listed.map(fromFields) };
+    const crashes = told.flatMap(fromCrashFields);
+    return { kind, number, progress, members: listed.map(fromFields), crashes };
   } catch {
     return undefined;
   }
 }
 
+function toCrashFields(told: ToldCrashes): CrashFields {
+  const { fingerprint, standing, lostLeafs, lostTrials, suspectedAgoMs, changedAgoMs } = told;
+  const agesMs = [Math.round(suspectedAgoMs), Math.round(changedAgoMs)] as const;
+  return [fingerprint, standing, lostLeafs, lostTrials, ...agesMs];
+}
+
+/** A standing that this version does not know is passed over. */
+function fromCrashFields(fields: CrashFields): ReadonlyArray<ToldCrashes> {
+  const [fingerprint, standing, lostLeafs, lostTrials, suspectedAgoMs, changedAgoMs] = fields;
+  return STANDINGS.has(standing)
+    ? [{ fingerprint, standing, lostLeafs, lostTrials, suspectedAgoMs, changedAgoMs }]
+    : [];
+}
+
+const STANDINGS: ReadonlySet<string> = new Set<Standing>(["suspected", "quarantined", "cleared"]);
+
 function toFields(member: Member): MemberFields {
   return [
     member.memberId,
--- a/box/fleet_messages_test.ts
+++ b/box/fleet_messages_test.ts
@@ -26,12 +26,34 @@
     { ...MEMBER, processorCores: 0.675 },
     { ...MEMBER, memberId: "box-2", box: "box-2" },
   ],
+  crashes: [],
 };
 
 t.test("decodeFleetMessage() reads what encodeFleetMessage() wrote", async (t) => {
   t.same(decodeFleetMessage(encodeFleetMessage(MESSAGE)), MESSAGE);
 });
 
+t.test(
+  "queries under which leafs were lost are told with ages in whole milliseconds",
+  async (t) => {
+    const lost = { lostLeafs: 4, lostTrials: 2, suspectedAgoMs: 812.4, changedAgoMs: 3.6 };
+    const crashes = [{ fingerprint: "f_1", standing: "quarantined", ...lost } as const];
+    const read = decodeFleetMessage(encodeFleetMessage({ ...MESSAGE, crashes }));
+    t.same(read?.crashes, [{ ...crashes[0], suspectedAgoMs: 812, changedAgoMs: 4 }]);
+  },
+);
+
+t.test("a standing that is not known is passed over", async (t) => {
+  const told = [["f", "someday", 1, 1, 1, 1]];
+  const data = deflateRawSync(JSON.stringify(["ask", 1, 1, 1, [], told]));
+  t.same(decodeFleetMessage(data)?.crashes, []);
+});
+
+t.test("a message of a box that knows of no such queries is read", async (t) => {
+  const data = deflateRawSync(JSON.stringify(["ask", 1, 1, 1, []]));
+  t.same(decodeFleetMessage(data)?.crashes, []);
+});
+
 t.test("a message with many members stays small", async (t) => {
   const members = Array.from({ length: 15 }, (_, index) => {
     const name = `box-${index}`;
--- a/box/request_runner.ts
+++ b/box/request_runner.ts
@@ -121,7 +121,7 @@
 
 type DirectCall = Pick<
   Extract<RequestEffect, { readonly kind: "call" }>,
-  "attemptId" | "shardIndex" | "leafId" | "deadlineAtMs"
+  "attemptId" | "shardIndex" | "leafId" | "deadlineAtMs" | "isTrial"
 >;
 
 class Run implements RunningRequest {
@@ -141,11 +141,11 @@
     this.#box = box;
     this.#onDone = onDone;
     this.#state = newRequest(options.terms, options.services);
-    this.#world = new RunWorld(box, options.placement);
-    const { nowMs, calls, relays } = box;
-    const { terms, forwarded } = options;
+    const { nowMs, calls, quarantine, relays } = box;
+    const { terms, forwarded, placement } = options;
+    this.#world = new RunWorld(box, { fingerprint: forwarded.fingerprint, placement });
     this.#orders = new RunOrders({
-      ...{ nowMs, calls, relays, terms, forwarded },
+      ...{ nowMs, calls, quarantine, relays, terms, forwarded },
       chosenBox: (name) => this.#world.chosenBox(name),
       take: (event) => this.take(event),
       note: (asked, what) => this.#note(asked, what),
@@ -182,11 +182,11 @@
   }
 
   readonly #runners: EffectRunners = {
-    call: ({ attemptId, shardIndex, leafId, deadlineAtMs }) => {
-      if ((this.#state.shards[shardIndex]?.runs ?? 0) > 1) {
-        this.#note(leafId, "asked again");
+    call: (effect) => {
+      if ((this.#state.shards[effect.shardIndex]?.runs ?? 0) > 1) {
+        this.#note(effect.leafId, "asked again");
       }
-      this.#call({ attemptId, shardIndex, leafId, deadlineAtMs });
+      this.#call(effect);
     },
     relay: (effect) => this.#orders.relay(effect),
     askThrough: (effect) => this.#orders.askThrough(effect),
@@ -215,16 +215,19 @@
     }
   }
 
-  #call({ attemptId, shardIndex, leafId, deadlineAtMs }: DirectCall): void {
+  #call({ attemptId, shardIndex, leafId, deadlineAtMs, isTrial }: DirectCall): void {
     const leaf = this.#box.leafs().byId.get(leafId);
     if (leaf === undefined) {
+      if (isTrial) {
+        this.#box.quarantine.endTrial(this.#options.forwarded.fingerprint);
+      }
       const outcome = { kind: "failed", sent: false, reason: "leaf is gone" } as const;
       queueMicrotask(() => this.take({ kind: "attemptEnded", attemptId, shardIndex, outcome }));
       return;
     }
     const { requestId, route } = this.#options.terms;
     const { repeatable } = route;
-    const call = { leaf, requestId, ...this.#options.forwarded, repeatable, deadlineAtMs };
+    const call = { leaf, requestId, ...this.#options.forwarded, repeatable, deadlineAtMs, isTrial };
     const open = this.#box.calls.send(call, (outcome) => {
       this.#openCalls.delete(attemptId);
       this.#noteEnd(leafId, outcome);
--- a/calls/_leaf_call_harness.ts
+++ b/calls/_leaf_call_harness.ts
@@ -6,6 +6,7 @@
 import type { Server } from "node:http";
 import type { Leaf } from "../leafs/mod.js";
 import { LEAF_HEADERS } from "../platform/mod.js";
+import { Quarantine } from "../quarantine/mod.js";
 import type { AttemptOutcome } from "../request/mod.js";
 import type { LeafCall } from "./leaf_call.js";
 import { LeafCalls } from "./leaf_calls.js";
@@ -32,11 +33,17 @@
   return typeof bound === "object" && bound !== null ? bound.port : 0;
 }
 
-export function makeCalls(connections = 2): LeafCalls {
+export function makeQuarantine(): Quarantine {
+  const nowMs = (): number => performance.now();
+  return new Quarantine({ nowMs, isTrialBox: () => true, onChange: () => undefined });
+}
+
+export function makeCalls(connections = 2, quarantine = makeQuarantine()): LeafCalls {
   return new LeafCalls({
     nowMs: () => performance.now(),
     waitedMs: () => performance.now(),
     connectionsTo: () => connections,
+    quarantine,
     onEnd: () => undefined,
   });
 }
@@ -69,6 +76,8 @@
     path: "/x",
     headers: ["Host", "h", LEAF_HEADERS.requestId, requestId],
     body: undefined,
+    fingerprint: requestId,
+    isTrial: false,
     repeatable,
     deadlineAtMs: performance.now() + leftMs,
   };
--- a/calls/leaf_call.ts
+++ b/calls/leaf_call.ts
@@ -14,6 +14,10 @@
   /** The caller's headers that are passed on, names and values by turns. */
   readonly headers: ReadonlyArray<string>;
   readonly body: Buffer | undefined;
+  /** The same for all requests that ask for the same thing. */
+  readonly fingerprint: string;
+  /** Whether it is the only call of a query under which leafs were lost. */
+  readonly isTrial: boolean;
   /** Whether it may run more than once. */
   readonly repeatable: boolean;
   /** Moment at which the answer is of no more use, on this box's clock. */
--- a/calls/leaf_calls.ts
+++ b/calls/leaf_calls.ts
@@ -12,6 +12,7 @@
   noteEnded,
   noteSent,
 } from "../leafs/mod.js";
+import type { Quarantine } from "../quarantine/mod.js";
 import type { AttemptOutcome } from "../request/mod.js";
 import { ABANDONED, AnswerReader } from "./_answer_reader.js";
 import type { LeafCall } from "./leaf_call.js";
@@ -32,6 +33,8 @@
   readonly waitedMs: () => number;
   /** Most connections of this box to a leaf of a service. */
   readonly connectionsTo: (service: string) => number;
+  /** Asked right before each call, and told how each ended: a query may end the leafs that run it. */
+  readonly quarantine: Pick<Quarantine, "calling" | "endTrial" | "noteAnswered" | "noteLost">;
   /** Told when a call is sent and none was open. */
   readonly onBusy?: () => void;
   /** Told how each call ended. */
@@ -42,10 +45,16 @@
 const OVERDUE_MS = 100;
 
 interface OpenEntry {
+  readonly fingerprint: string;
+  readonly isTrial: boolean;
   readonly deadlineAtMs: number;
   readonly abandon: () => void;
+  readonly withdraw: () => void;
 }
 
+/** A call that is not sent, as leafs were lost under its query. */
+const HELD = { kind: "failed", sent: false, reason: "held", held: true } as const;
+
 /**
  * What this box has with one incarnation of a leaf. Calls keep hold of it to their end, so that one that was
  * sent to a former incarnation shows nothing of the next.
@@ -94,6 +103,11 @@
    * @returns The call under way.
    */
   send(call: LeafCall, onEnd: (outcome: AttemptOutcome) => void): OpenCall {
+    const { fingerprint, isTrial } = call;
+    if (!isTrial && this.#options.quarantine.calling(fingerprint) !== "freely") {
+      queueMicrotask(() => onEnd(HELD));
+      return { abandon: () => undefined, withdraw: () => undefined };
+    }
     const callId = this.#nextCallId;
     this.#nextCallId += 1;
     const waitedMs = this.#options.waitedMs();
@@ -110,16 +124,19 @@
       };
       incarnation.condition = noteEnded(incarnation.condition, end);
       this.#options.onEnd(end.result);
+      this.#noteForQuery(call, outcome);
       onEnd(outcome);
     });
     const abandon = (): void => handler.abandon();
+    const withdraw = (): void => handler.withdraw();
     if (this.#open.size === 0) {
       this.#options.onBusy?.();
     }
-    this.#open.set(callId, { deadlineAtMs: call.deadlineAtMs, abandon });
+    const { deadlineAtMs } = call;
+    this.#open.set(callId, { fingerprint, isTrial, deadlineAtMs, abandon, withdraw });
     incarnation.line ??= this.#openLine(call.leaf);
     incarnation.line.send(handler);
-    return { abandon, withdraw: () => handler.withdraw() };
+    return { abandon, withdraw };
   }
 
   /**
@@ -144,6 +161,21 @@
     };
   }
 
+  /**
+   * Takes back the calls of a query that wait for a connection, as leafs were lost under it meanwhile. Those
+   * that were asked alone stay, unless the query is to go to no leaf at all.
+   *
+   * @param fingerprint - The query.
+   */
+  holdWaiting(fingerprint: string): void {
+    const isHeld = this.#options.quarantine.calling(fingerprint) === "held";
+    for (const { isTrial, withdraw, ...open } of [...this.#open.values()]) {
+      if (open.fingerprint === fingerprint && (isHeld || !isTrial)) {
+        withdraw();
+      }
+    }
+  }
+
   /** Breaks off the calls whose deadline has passed. */
   dropOverdue(): void {
     const nowMs = this.#options.nowMs();
@@ -175,6 +207,19 @@
     }
   }
 
+  /** What a call's end says of its query. */
+  #noteForQuery({ fingerprint, isTrial }: LeafCall, outcome: AttemptOutcome): void {
+    const { quarantine } = this.#options;
+    if (isTrial) {
+      quarantine.endTrial(fingerprint);
+    }
+    if (outcome.kind === "answered") {
+      quarantine.noteAnswered(fingerprint);
+    } else if (outcome.kind === "failed" && outcome.connectionLost === true) {
+      quarantine.noteLost({ fingerprint, isTrial });
+    }
+  }
+
   #now(): Pick<CallEnd, "nowMs" | "waitedMs"> {
     return { nowMs: this.#options.nowMs(), waitedMs: this.#options.waitedMs() };
   }
--- a/calls/leaf_calls_test.ts
+++ b/calls/leaf_calls_test.ts
@@ -2,7 +2,15 @@
 import { createServer as createTcpServer, type Socket } from "node:net";
 import t from "tap";
 import { LEAF_HEADERS } from "../platform/mod.js";
-import { call, LOOPBACK, learn, makeCalls, portOf } from "./_leaf_call_harness.js";
+import {
+  call,
+  LOOPBACK,
+  leafCall,
+  learn,
+  makeCalls,
+  makeQuarantine,
+  portOf,
+} from "./_leaf_call_harness.js";
 
 t.test("send() gives the leaf's whole answer and keeps the connection", async (t) => {
   let connections = 0;
@@ -145,3 +153,56 @@
   t.match(await call(calls, portOf(server), { repeatable: false }), { kind: "answered" });
   t.equal(connections, 2, "the other one takes a new connection, within the share");
 });
+
+t.test(
+  "a call of a query under which leafs were lost is not sent, unless it is the only one",
+  async (t) => {
+    const quarantine = makeQuarantine();
+    const calls = makeCalls(2, quarantine);
+    const taken: Array<string> = [];
+    const server = createServer((request, response) => {
+      taken.push(String(request.headers["x-request-id"]));
+      request.socket.destroy();
+      response.destroy();
+    });
+    await new Promise<void>((resolve) => server.listen(0, LOOPBACK, resolve));
+    t.teardown(() => server.close());
+    const send = (requestId: string, isTrial: boolean) => {
+      const query = { ...leafCall(portOf(server), { requestId }), fingerprint: "q", isTrial };
+      return new Promise((resolve) => calls.send(query, resolve));
+    };
+    t.match(await send("first", false), { kind: "failed", sent: true, connectionLost: true });
+    t.match(await send("second", false), { kind: "failed", sent: false, held: true });
+    t.match(await send("trial-1", true), { connectionLost: true });
+    t.match(await send("trial-2", true), { connectionLost: true });
+    t.equal(quarantine.calling("q"), "held");
+    t.same(taken, ["first", "trial-1", "trial-2"]);
+  },
+);
+
+t.test(
+  "calls that wait for a connection are taken back when a leaf is lost under their query",
+  async (t) => {
+    const quarantine = makeQuarantine();
+    const calls = makeCalls(1, quarantine);
+    const server = createServer(() => undefined);
+    await new Promise<void>((resolve) => server.listen(0, LOOPBACK, resolve));
+    t.teardown(() => {
+      server.closeAllConnections();
+      server.close();
+    });
+    const send = (requestId: string, fingerprint: string) => {
+      const query = { ...leafCall(portOf(server), { requestId }), fingerprint };
+      return new Promise((resolve) => calls.send(query, resolve));
+    };
+    const running = send("running", "q");
+    const waiting = send("waiting", "q");
+    await new Promise((resolve) => setTimeout(resolve, 50));
+    quarantine.noteLost({ fingerprint: "q", isTrial: false });
+    calls.holdWaiting("q");
+    t.match(await waiting, { kind: "failed", sent: false });
+    server.closeAllConnections();
+    t.match(await running, { sent: true });
+    learn(calls, []);
+  },
+);
--- a/quarantine/mod.ts
+++ b/quarantine/mod.ts
@@ -3,4 +3,7 @@
  *
  * @module
  */
+
+export * from "./crash_record.js";
+export * from "./quarantine.js";
 export * from "./request_fingerprint.js";
--- /dev/null
+++ b/quarantine/quarantine.ts
@@ -0,0 +1,331 @@
+/**
+ * Keeps queries that end leafs away from them.
+ *
+ * The load pattern: one query ends each leaf that begins to run it, and comes again every few seconds, at any
+ * box, under another id. Sent on as others are, it took all 40 leafs of an index four times in a row, and
+ * every other query with them. From the first loss without an answer its calls go one at a time; two of those
+ * lost, and no box sends it any more.
+ *
+ * @module
+ */
+import {
+  type CrashRecord,
+  clearRecord,
+  mergeTold,
+  noteLostLeaf,
+  type ToldCrashes,
+  tellRecord,
+} from "./crash_record.js";
+import { RecentAnswers } from "./recent_answers.js";
+
+/** How a query's next call may go. */
+export type Calling =
+  /** Like any other. */
+  | "freely"
+  /** As the only one of the query that this box sends until it has ended. */
+  | "alone"
+  /** Not yet: such a call is under way. */
+  | "later"
+  /** Not at all for now. */
+  | "held";
+
+/**
+ * Time after the first loss for which any box may try a suspect, in milliseconds. All boxes know of it by
+ * then, and later trials, of which every box could make one, are left to one box.
+ */
+const TRIAL_ANYWHERE_MS = 1_500;
+
+/** Time after which a trial counts as ended whatever became of it, in milliseconds; above any deadline. */
+const LONGEST_TRIAL_MS = 10_000;
+
+/**
+ * Time for which a query is not sent at all, in milliseconds; after that one box may try it again. A leaf
+ * of 40 that is lost for some seconds every ten minutes is borne; a query that has been mended waits no
+ * longer.
+ */
+const QUARANTINE_MS = 600_000;
+
+/** Time after which a record that has not changed is dropped, in milliseconds. */
+const KEPT_MS = {
+  suspected: 600_000,
+  quarantined: 86_400_000,
+  // Longer than news of the suspicion can be on its way.
+  cleared: 60_000,
+} as const;
+
+/**
+ * Most records kept; the oldest go first. Far above the few queries that ever end leafs, and some 100 bytes
+ * each.
+ */
+const MOST_RECORDS = 512;
+
+/** Losses from which on other boxes are told: a single one is most often a leaf that ended by itself. */
+const LEAST_TOLD_LOSSES = 2;
+
+/** When the caller of a suspect may come back, in milliseconds: a trial takes about a tenth of that. */
+const SUSPECT_RETRY_MS = 1_000;
+
+/** A change of what is believed of a query. */
+export interface QuarantineChange {
+  readonly record: CrashRecord;
+  readonly before: CrashRecord | undefined;
+  /** What changed it: what this box saw, or what it was told. */
+  readonly source: "own" | "told";
+  /** Whether other boxes are to know. */
+  readonly isNews: boolean;
+}
+
+/** What the quarantine needs of its box. */
+export interface QuarantineOptions {
+  readonly nowMs: () => number;
+  /** Tells whether this box is the one that may try a suspect later on. */
+  readonly isTrialBox: (fingerprint: string) => boolean;
+  /** Told after each change. */
+  readonly onChange: (change: QuarantineChange) => void;
+}
+
+/** A leaf that was lost under a query. */
+export interface LostCall {
+  readonly fingerprint: string;
+  readonly isTrial: boolean;
+}
+
+/** The queries that end leafs, as one box knows them. */
+export class Quarantine {
+  readonly #options: QuarantineOptions;
+  /** In the order of their last change. */
+  readonly #records = new Map<string, CrashRecord>();
+  readonly #answers = new RecentAnswers();
+  /** When the trial that is under way began, by query. */
+  readonly #trials = new Map<string, number>();
+
+  /**
+   * @param options - What the quarantine needs of its box.
+   */
+  constructor(options: QuarantineOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Tells how the next call of a query may go. To be asked right before each call.
+   *
+   * @param fingerprint - The query.
+   * @returns How it may go.
+   */
+  calling(fingerprint: string): Calling {
+    const record = this.#records.get(fingerprint);
+    if (record === undefined || record.standing === "cleared") {
+      return "freely";
+    }
+    const nowMs = this.#options.nowMs();
+    if (isBarred(record, nowMs)) {
+      return "held";
+    }
+    if (this.#isTried(fingerprint, nowMs)) {
+      return "later";
+    }
+    const isYoung = nowMs - record.suspectedAtMs < TRIAL_ANYWHERE_MS;
+    return isYoung || this.#options.isTrialBox(fingerprint) ? "alone" : "held";
+  }
+
+  /**
+   * Tells when a query that is held may come back.
+   *
+   * @param fingerprint - The query.
+   * @returns The time from now, in milliseconds.
+   */
+  retryAfterMs(fingerprint: string): number {
+    const record = this.#records.get(fingerprint);
+    const nowMs = this.#options.nowMs();
+    return record !== undefined && isBarred(record, nowMs)
+      ? record.changedAtMs + QUARANTINE_MS - nowMs
+      : SUSPECT_RETRY_MS;
+  }
+
+  /**
+   * Claims the only call of a suspect that may be under way here.
+   *
+   * @param fingerprint - The query.
+   */
+  beginTrial(fingerprint: string): void {
+    this.#trials.set(fingerprint, this.#options.nowMs());
+  }
+
+  /**
+   * Gives it back, as the call has ended.
+   *
+   * @param fingerprint - The query.
+   */
+  endTrial(fingerprint: string): void {
+    this.#trials.delete(fingerprint);
+  }
+
+  /**
+   * Notes that a leaf has run a query and answered, by which it is cleared.
+   *
+   * @param fingerprint - The query.
+   */
+  noteAnswered(fingerprint: string): void {
+    const nowMs = this.#options.nowMs();
+    this.#answers.note(fingerprint, nowMs);
+    const record = this.#records.get(fingerprint);
+    if (record === undefined || record.standing === "cleared") {
+      return;
+    }
+    if (isTold(record)) {
+      this.#set(clearRecord(record, nowMs), "own");
+    } else {
+      this.#records.delete(fingerprint);
+    }
+  }
+
+  /**
+   * Notes that a leaf was lost under a query.
+   *
+   * @param lost - The query, and whether the leaf was asked alone.
+   */
+  noteLost({ fingerprint, isTrial }: LostCall): void {
+    const nowMs = this.#options.nowMs();
+    if (this.#answers.has(fingerprint, nowMs)) {
+      return;
+    }
+    const record = this.#records.get(fingerprint);
+    this.#set(noteLostLeaf(record, { fingerprint, isTrial, nowMs }), "own");
+  }
+
+  /**
+   * Takes in what another box, or the store, tells.
+   *
+   * @param told - Queries under which leafs were lost.
+   * @returns Whether any of it was new.
+   */
+  hear(told: ReadonlyArray<ToldCrashes>): boolean {
+    const nowMs = this.#options.nowMs();
+    return told.filter((each) => this.#hearOne(each, nowMs)).length > 0;
+  }
+
+  /**
+   * Takes in that another box does not send a query; its news is still on the way.
+   *
+   * @param fingerprint - The query.
+   */
+  hearHeld(fingerprint: string): void {
+    const seen = {
+      lostLeafs: LEAST_TOLD_LOSSES,
+      lostTrials: 0,
+      suspectedAgoMs: 0,
+      changedAgoMs: 0,
+    };
+    this.hear([{ fingerprint, standing: "suspected", ...seen }]);
+  }
+
+  /** A query that was answered here of late is cleared: the other box could not know of it. */
+  #hearOne(told: ToldCrashes, nowMs: number): boolean {
+    const own = this.#records.get(told.fingerprint);
+    const merged = mergeTold(own, told, nowMs);
+    const isKept = nowMs - merged.changedAtMs < KEPT_MS[merged.standing];
+    if (merged === own || !isKept) {
+      return false;
+    }
+    const isAnswered = this.#answers.has(told.fingerprint, nowMs);
+    if (merged.standing !== "cleared" && isAnswered) {
+      this.#set(clearRecord(merged, nowMs), "own");
+    } else {
+      this.#set(merged, "told");
+    }
+    return true;
+  }
+
+  /**
+   * Lists what other boxes are to know.
+   *
+   * @param most - Most records; by chance, where there are more.
+   * @returns What they are told.
+   */
+  tell(most: number): ReadonlyArray<ToldCrashes> {
+    if (this.#records.size === 0) {
+      return [];
+    }
+    this.#dropOld();
+    const nowMs = this.#options.nowMs();
+    const all = [...this.#records.values()].filter(isTold);
+    const first = all.length > most ? Math.floor(Math.random() * all.length) : 0;
+    return [...all.slice(first), ...all.slice(0, first)]
+      .slice(0, most)
+      .map((record) => tellRecord(record, nowMs));
+  }
+
+  /** What is believed of queries at this moment. */
+  records(): ReadonlyArray<CrashRecord> {
+    this.#dropOld();
+    return [...this.#records.values()];
+  }
+
+  /**
+   * Clears a query by an operator's word.
+   *
+   * @param fingerprint - The query.
+   * @returns Whether there was anything to clear.
+   */
+  lift(fingerprint: string): boolean {
+    const record = this.#records.get(fingerprint);
+    if (record === undefined || record.standing === "cleared") {
+      return false;
+    }
+    this.#set(clearRecord(record, this.#options.nowMs()), "own");
+    return true;
+  }
+
+  #isTried(fingerprint: string, nowMs: number): boolean {
+    const beganAtMs = this.#trials.get(fingerprint);
+    return beganAtMs !== undefined && nowMs - beganAtMs < LONGEST_TRIAL_MS;
+  }
+
+  #set(record: CrashRecord, source: QuarantineChange["source"]): void {
+    const { fingerprint } = record;
+    const before = this.#records.get(fingerprint);
+    // Anew, so that the map is in the order of changes.
+    this.#records.delete(fingerprint);
+    this.#records.set(fingerprint, record);
+    this.#dropSurplus();
+    this.#options.onChange({ record, before, source, isNews: isNews(record, before) });
+  }
+
+  #dropOld(): void {
+    const nowMs = this.#options.nowMs();
+    for (const [fingerprint, { standing, changedAtMs }] of this.#records) {
+      if (nowMs - changedAtMs >= KEPT_MS[standing]) {
+        this.#records.delete(fingerprint);
+      }
+    }
+  }
+
+  /** Suspects go before queries that are quarantined: what is proved is dearer to learn again. */
+  #dropSurplus(): void {
+    if (this.#records.size <= MOST_RECORDS) {
+      return;
+    }
+    this.#dropOld();
+    const all = [...this.#records.values()];
+    const oldest = all.find(({ standing }) => standing !== "quarantined") ?? all[0];
+    if (this.#records.size > MOST_RECORDS && oldest !== undefined) {
+      this.#records.delete(oldest.fingerprint);
+    }
+  }
+}
+
+function isTold({ standing, lostLeafs }: CrashRecord): boolean {
+  return standing !== "suspected" || lostLeafs >= LEAST_TOLD_LOSSES;
+}
+
+function isBarred({ standing, changedAtMs }: CrashRecord, nowMs: number): boolean {
+  return standing === "quarantined" && nowMs - changedAtMs < QUARANTINE_MS;
+}
+
+/** Not each further loss: a query over many shards loses dozens of leafs within a tenth of a second. */
+function isNews(record: CrashRecord, before: CrashRecord | undefined): boolean {
+  if (before === undefined || !isTold(before)) {
+    return isTold(record);
+  }
+  return record.standing !== before.standing || record.lostTrials !== before.lostTrials;
+}
--- a/relay/_lost_part_of.ts
+++ b/relay/_lost_part_of.ts
@@ -24,5 +24,13 @@
     return statusCode >= 200 && statusCode < 300 && signature !== "" ? undefined : "failed";
   },
   refused: () => "refused",
-  failed: ({ sent }) => (sent ? "failed" : "declined"),
+  failed: ({ connectionLost = false, held = false, sent }) => {
+    if (connectionLost) {
+      return "connection lost";
+    }
+    if (held) {
+      return "held";
+    }
+    return sent ? "failed" : "declined";
+  },
 };
--- a/relay/_merged_relay.ts
+++ b/relay/_merged_relay.ts
@@ -16,6 +16,7 @@
 } from "../leafs/mod.js";
 import { type AttemptOutcome, type LostPart, mergeRecords, recordFloor } from "../request/mod.js";
 import { lostPartOf } from "./_lost_part_of.js";
+import { type OrderedCall, orderedCall } from "./_ordered_call.js";
 import type { Relay, RelayServerOptions } from "./_relay.js";
 import { encodeRelayed } from "./relay_frames.js";
 import type { MergedOrder } from "./relay_order.js";
@@ -47,6 +48,7 @@
   readonly #order: MergedOrder;
   readonly #response: ServerResponse;
   readonly #options: RelayServerOptions;
+  readonly #call: OrderedCall;
   readonly #open = new Set<OpenCall>();
   #waiting: Array<NearPart> = [];
   #lost = new Map<string, LostPart>();
@@ -60,6 +62,7 @@
 
   constructor(order: MergedOrder, response: ServerResponse, options: RelayServerOptions) {
     this.#order = order;
+    this.#call = orderedCall(order);
     this.#response = response;
     this.#options = options;
   }
@@ -105,11 +108,10 @@
       return 0;
     }
     this.#queuesMs.push(chosen.queueMs);
-    const { requestId, method, path, headers, leftMs } = this.#order;
-    const call = { requestId, method, path, headers, body: undefined, repeatable: true };
+    const { leftMs } = this.#order;
     this.#openCount += 1;
     const open = calls.send(
-      { ...call, leaf: chosen.leaf, deadlineAtMs: now + leftMs },
+      { ...this.#call, leaf: chosen.leaf, deadlineAtMs: now + leftMs },
       (outcome) => {
         this.#openCount -= 1;
         this.#open.delete(open);
--- /dev/null
+++ b/relay/_ordered_call.ts
@@ -0,0 +1,31 @@
+/**
+ * Turns another box's order into calls to leafs.
+ *
+ * @module
+ */
+import type { LeafCall } from "../calls/mod.js";
+import { requestFingerprint } from "../quarantine/mod.js";
+import type { RelayOrder } from "./relay_order.js";
+
+/** What all calls of an order share. */
+export type OrderedCall = Omit<LeafCall, "leaf" | "deadlineAtMs">;
+
+/**
+ * Makes what the calls of an order share.
+ *
+ * @param order - The order.
+ * @returns The calls' common part; only requests without a body are ordered.
+ */
+export function orderedCall({ requestId, method, path, headers }: RelayOrder): OrderedCall {
+  const body = undefined;
+  const fingerprint = requestFingerprint({ method, caller: hostOf(headers), path, body });
+  const content = { requestId, method, path, headers, body, fingerprint };
+  return { ...content, repeatable: true, isTrial: false };
+}
+
+function hostOf(headers: ReadonlyArray<string>): string {
+  const name = headers.findIndex((each, index) => {
+    return index % 2 === 0 && each.toLowerCase() === "host";
+  });
+  return name < 0 ? "" : (headers[name + 1] ?? "");
+}
--- a/relay/_separate_relay.ts
+++ b/relay/_separate_relay.ts
@@ -13,6 +13,7 @@
   type RelayedParts,
 } from "../request/mod.js";
 import { lostPartOf } from "./_lost_part_of.js";
+import { type OrderedCall, orderedCall } from "./_ordered_call.js";
 import type { Relay, RelayServerOptions } from "./_relay.js";
 import { encodeRelayed } from "./relay_frames.js";
 import { type SeparateCall, type SeparateOrder, servicesOf } from "./relay_order.js";
@@ -22,11 +23,13 @@
   readonly #order: SeparateOrder;
   readonly #response: ServerResponse;
   readonly #options: RelayServerOptions;
+  readonly #call: OrderedCall;
   readonly #open = new Set<OpenCall>();
   #openCount = 0;
 
   constructor(order: SeparateOrder, response: ServerResponse, options: RelayServerOptions) {
     this.#order = order;
+    this.#call = orderedCall(order);
     this.#response = response;
     this.#options = options;
   }
@@ -54,10 +57,9 @@
     if (leaf === undefined || leaf.draining || condition.gone || isFull(condition, leaf)) {
       return false;
     }
-    const { requestId, method, path, headers, leftMs } = this.#order;
-    const call = { requestId, method, path, headers, body: undefined, repeatable: true };
+    const { leftMs } = this.#order;
     this.#openCount += 1;
-    const open = calls.send({ ...call, leaf, deadlineAtMs: nowMs() + leftMs }, (outcome) => {
+    const open = calls.send({ ...this.#call, leaf, deadlineAtMs: nowMs() + leftMs }, (outcome) => {
       this.#openCount -= 1;
       this.#open.delete(open);
       this.#take(service, outcome);
--- a/relay/relay_frames.ts
+++ b/relay/relay_frames.ts
@@ -20,7 +20,13 @@
 ];
 
 /** Reasons in the order in which a frame's head lists them. */
-const REASONS: ReadonlyArray<LostPart> = ["declined", "refused", "failed"];
+const REASONS: ReadonlyArray<LostPart> = [
+  "declined",
+  "refused",
+  "failed",
+  "connection lost",
+  "held",
+];
 
 const LENGTH_BYTES = 4;
 
--- a/relay/relay_frames_test.ts
+++ b/relay/relay_frames_test.ts
@@ -12,7 +12,12 @@
     .array(fc.tuple(SERVICE, fc.string({ maxLength: 30 })))
     .map((pairs) => new Map(pairs)),
   lost: fc
-    .array(fc.tuple(SERVICE, fc.constantFrom<LostPart>("declined", "refused", "failed")))
+    .array(
+      fc.tuple(
+        SERVICE,
+        fc.constantFrom<LostPart>("declined", "refused", "failed", "connection lost", "held"),
+      ),
+    )
     .map((pairs) => new Map(pairs)),
   records: fc.uint8Array({ maxLength: 64 }).map((bytes) => Buffer.from(bytes)),
   queueMs: fc.nat(1_000),
--- a/replay/replay_query.ts
+++ b/replay/replay_query.ts
@@ -98,6 +98,16 @@
     return this.#options.box.extraCallsLeft(service);
   }
 
+  calling(): "freely" {
+    return "freely";
+  }
+
+  beginTrial(): void {}
+
+  heldForMs(): number {
+    return 0;
+  }
+
   takeExtraCall(service: string, kind: Parameters<RequestWorld["takeExtraCall"]>[1]): boolean {
     return this.#options.box.takeExtraCall(service, kind);
   }
@@ -195,6 +205,8 @@
   declined: "full",
   refused: "full",
   failed: "failed",
+  "connection lost": "failed",
+  held: "full",
 };
 
 /** Notes how the call to the leaf of a service ended. */
--- a/request/_attempts.ts
+++ b/request/_attempts.ts
@@ -55,6 +55,9 @@
   if (refused !== undefined) {
     return refused;
   }
+  if (world.calling() !== "freely") {
+    return askOneByOne(first, world);
+  }
   const crowded = waits.queueMs > waits.mostQueueMs;
   const { direct, relays, unserved } = plan;
   const without = unserved.reduce(loseShard, { ...first.state, crowded });
@@ -64,11 +67,21 @@
     return { ...first, state: without };
   }
   const called = forEachStep({ ...first, state: without }, direct, (now, { shardIndex, leaf }) => {
-    return sendAttempt(now, { shardIndex, leaf, world });
+    return sendAttempt(now, { shardIndex, leaf, world, isTrial: false });
   });
   return forEachStep(called, relays, (now, relay) => sendRelay(now, relay, world));
 }
 
+/**
+ * Lets all shards wait for their turn, of which there is one at a time: leafs were lost under the query.
+ * The first answer makes it one like any other.
+ */
+function askOneByOne(first: AttemptStep, world: RequestWorld): AttemptStep {
+  return forEachStep(first, first.state.shards.keys(), (now, shardIndex) => {
+    return askOrWait(now, { shardIndex, world, kind: "replacement" });
+  });
+}
+
 function sendRelay(
   state: RequestState,
   { box, calls }: RelayCall,
@@ -126,8 +139,10 @@
   const { aimAtMs, arrivedAtMs, maxAttempts, route } = state.terms;
   const aimMs = aimAtMs - arrivedAtMs;
   const atMs = world.nowMs + aimMs * NEXT_AIM_SHARE;
+  const calling = world.calling();
   const mayWait =
-    route.target.kind === "gather" &&
+    (route.target.kind === "gather" || (route.repeatable && calling === "later")) &&
+    calling !== "held" &&
     shard.runs < maxAttempts &&
     shard.refusedBy.length < MOST_REFUSALS &&
     atMs < aimAtMs + aimMs;
@@ -159,10 +174,14 @@
   if (leaf === undefined || (isForTime && isInVain(state, leaf))) {
     return step(state);
   }
+  const calling = world.calling();
+  if (calling === "later" || calling === "held") {
+    return step(state);
+  }
   if (kind !== "replacement" && !world.takeExtraCall(shard.service, budgetKind(state, kind))) {
     return step(state);
   }
-  return sendAttempt(state, { shardIndex, leaf, world });
+  return sendAttempt(state, { shardIndex, leaf, world, isTrial: calling === "alone" });
 }
 
 /**
@@ -221,17 +240,26 @@
   readonly shardIndex: number;
   readonly leaf: LeafChoice;
   readonly world: RequestWorld;
+  readonly isTrial: boolean;
 }
 
-function sendAttempt(state: RequestState, { shardIndex, leaf, world }: SentCall): AttemptStep {
+function sendAttempt(
+  state: RequestState,
+  { shardIndex, leaf, world, isTrial }: SentCall,
+): AttemptStep {
   const attemptId = state.nextAttemptId;
-  const { leafId, expectedMs, relayPlace } = leaf;
+  const { leafId, expectedMs } = leaf;
+  if (isTrial) {
+    world.beginTrial();
+  }
+  // Another box would send it by its own belief, and the trial would not be known to be the only call.
+  const relayPlace = isTrial ? undefined : leaf.relayPlace;
   const attempt: Attempt = { attemptId, asked: leafId, ...startOf(world), expectedMs, leastMs: 0 };
   const sent = openAttempt(state, { shardIndex, attempt, askedLeaf: leafId });
   const { deadlineAtMs } = state.terms;
   return step(
     { ...sent, nextAttemptId: attemptId + 1 },
-    { kind: "call", attemptId, shardIndex, leafId, relayPlace, deadlineAtMs },
+    { kind: "call", attemptId, shardIndex, leafId, relayPlace, deadlineAtMs, isTrial },
   );
 }
 
--- a/request/_refusals.ts
+++ b/request/_refusals.ts
@@ -59,6 +59,9 @@
   first: RefusedStep,
   { plan, waits, world }: PlannedQuery,
 ): RefusedStep | undefined {
+  if (world.calling() === "held") {
+    return refuse(first, { reason: "leafs were lost under it", retryAfterMs: world.heldForMs() });
+  }
   if (findOverload(waits) !== undefined) {
     return refuse(first, {
       reason: "leafs are overloaded",
--- a/request/_request_driver.ts
+++ b/request/_request_driver.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { ExtraCallKind } from "../limits/mod.js";
+import type { Calling } from "../quarantine/mod.js";
 import type { Route } from "../routing/mod.js";
 import { newRequest, stepRequest } from "./request_core.js";
 import type {
@@ -48,6 +49,8 @@
   readonly finishShare?: number;
   /** Expected wait at each service's leafs, in milliseconds; none by default. */
   readonly queueMs?: Readonly<Record<string, number>>;
+  /** How the first call may go; freely by default. */
+  readonly calling?: Calling;
   /** Share of calls to each service's leafs that come to nothing; none by default. */
   readonly lossShare?: Readonly<Record<string, number>>;
   /** Told what each extra call is paid as. */
@@ -76,6 +79,8 @@
   readonly stands: boolean;
   /** Whether another region has a box to rely on. */
   hasBox = true;
+  /** How the next call may go; once a trial has begun, not before the test says so. */
+  calling: Calling;
 
   constructor(route: Route, options: DriverOptions = {}) {
     const {
@@ -89,6 +94,7 @@
     this.lossShare = options.lossShare ?? {};
     this.extraCalls = extraCalls;
     this.stands = options.stands ?? true;
+    this.calling = options.calling ?? "freely";
     this.onExtraCall = options.onExtraCall ?? (() => undefined);
     this.relayedLeafs = relayedLeafs;
     const terms = {
@@ -127,6 +133,11 @@
       },
       noteQueue: (_index, queueMs) => (this.stands ? queueMs : 0),
       extraCallsLeft: () => this.extraCalls,
+      calling: () => this.calling,
+      beginTrial: () => {
+        this.calling = "later";
+      },
+      heldForMs: () => 700,
       takeExtraCall: (_service, kind) => {
         this.onExtraCall(kind);
         this.extraCalls -= 1;
--- a/request/lost_part.ts
+++ b/request/lost_part.ts
@@ -9,6 +9,8 @@
   declined: { kind: "failed", sent: false, reason: "declined" },
   refused: { kind: "refused", reason: "full" },
   failed: { kind: "failed", sent: true, reason: "part is missing" },
+  "connection lost": { kind: "failed", sent: true, reason: "leaf was lost", connectionLost: true },
+  held: { kind: "failed", sent: false, reason: "held", held: true },
 };
 
 /**
--- a/request/request_state.ts
+++ b/request/request_state.ts
@@ -5,6 +5,7 @@
  */
 import type { Overload, PartsShortfall } from "../admission/mod.js";
 import type { ExtraCallKind } from "../limits/mod.js";
+import type { Calling } from "../quarantine/mod.js";
 import type { Route } from "../routing/mod.js";
 
 /** Headers of an answer, names in lower case. */
@@ -20,8 +21,18 @@
   readonly body: Buffer;
 }
 
-/** Why another box has no part: no leaf was asked, the leaf refused the call, or gave no whole answer. */
-export type LostPart = "declined" | "refused" | "failed";
+/** Why another box has no part. */
+export type LostPart =
+  /** No leaf was asked. */
+  | "declined"
+  /** The leaf refused the call. */
+  | "refused"
+  /** The leaf gave no whole answer. */
+  | "failed"
+  /** The leaf's connection ended before its answer. */
+  | "connection lost"
+  /** The box does not send the query, as leafs were lost under it. */
+  | "held";
 
 /** Parts of several shards that another box has got and merged. */
 export interface RelayedParts {
@@ -49,6 +60,8 @@
       readonly reason: string;
       /** Whether the leaf's connection ended while the answer was awaited: the leaf may have ended with it. */
       readonly connectionLost?: boolean;
+      /** Whether it was not sent because leafs were lost under the query. */
+      readonly held?: boolean;
     };
 
 /** One try to get a shard's part, from a leaf or through a box near its leafs. */
@@ -184,6 +197,8 @@
       /** Where a box near the leaf stands, if it had better be asked through one. */
       readonly relayPlace: string | undefined;
       readonly deadlineAtMs: number;
+      /** Whether it is the only call of a query under which leafs were lost. */
+      readonly isTrial: boolean;
     }
   /** Asks leafs elsewhere through one box near them, each part by itself. */
   | {
@@ -272,4 +287,10 @@
   takeExtraCall(service: string, kind: ExtraCallKind): boolean;
   /** Tells how many extra calls the service's budget allows now. */
   extraCallsLeft(service: string): number;
+  /** Tells how the next call may go: leafs may have been lost under the query. */
+  calling(): Calling;
+  /** Claims the only call that may be under way. */
+  beginTrial(): void;
+  /** Tells when a query that is held may come back, as the time from now in milliseconds. */
+  heldForMs(): number;
 }
