Keep queries that are not sent any more in the platform's store

Cause: what boxes know of a query that ends leafs lay in their memory alone. Change: one object a query, written when it is quarantined and removed when it is cleared; the boxes that watch the store read them a second after their start and tell the others. What is only suspected is not kept.

--- a/box/_make_quarantine.ts
+++ b/box/_make_quarantine.ts
@@ -19,7 +19,7 @@
   /** Tells other boxes at once. */
   readonly tell: () => void;
   /** Keeps a query that is quarantined beyond the life of all boxes. */
-  readonly keep: (record: CrashRecord) => void;
+  readonly keep: (record: CrashRecord, before: CrashRecord | undefined) => void;
   readonly telemetry: Pick<BoxTelemetry, "event" | "quarantineChanges">;
 }
 
@@ -56,7 +56,7 @@
       }
       if (isNews && source === "own") {
         tell();
-        keep(record);
+        keep(record, before);
       }
     },
   });
--- a/box/box_shell.ts
+++ b/box/box_shell.ts
@@ -24,6 +24,7 @@
 import { callerServer, keepIdleCallers } from "./caller_server.js";
 import type { FleetLink } from "./fleet_link.js";
 import { FleetView } from "./fleet_view.js";
+import { QuarantineArchive } from "./quarantine_archive.js";
 import { watchWaitMs } from "./registry_watch.js";
 import { RelayPlaces } from "./relay_places.js";
 import { RequestIntake } from "./request_intake.js";
@@ -43,6 +44,9 @@
  */
 const TIDY_IDLE_EVERY_MS = 1_000;
 
+/** Time after the start in which a box learns of the others, in milliseconds. */
+const LEARN_BOXES_MS = 1_000;
+
 /** Bodies taken before a configuration sets the limit, in bytes. */
 const DEFAULT_MAX_BODY_BYTES = 262_144;
 
@@ -72,6 +76,7 @@
     onBusy: () => this.#tidyTimer.hurry(),
   });
   readonly #quarantine: Quarantine;
+  readonly #archive: QuarantineArchive;
   readonly #budgets: ExtraCallBudgets;
   readonly #runner: RequestRunner;
   readonly #fleet: FleetLink;
@@ -79,6 +84,7 @@
   readonly #servers: ReadonlyArray<ServerAtPort>;
   readonly #view: FleetView;
   readonly #life: BoxLife;
+  #loadTimer: NodeJS.Timeout | undefined;
   readonly #tidyTimer = new AdaptiveTimer({
     busyMs: TIDY_EVERY_MS,
     idleMs: TIDY_IDLE_EVERY_MS,
@@ -117,13 +123,20 @@
         this.#learned();
       },
     });
+    this.#archive = new QuarantineArchive({
+      store: this.#store,
+      nowMs,
+      nowEpochMs: () => Date.now(),
+      onFound: (told) => this.#quarantine.hear(told),
+      telemetry,
+    });
     this.#quarantine = makeQuarantine({
       box: settings.box,
       nowMs,
       alive: () => this.#fleet.alive(),
       calls: () => this.#calls,
       tell: () => this.#fleet.tell(this.#view.hearers()),
-      keep: () => undefined,
+      keep: (record, before) => void this.#archive.note(record, before),
       telemetry,
     });
     this.#calls = new LeafCalls({
@@ -217,6 +230,7 @@
     await Promise.all(this.#servers.map(({ server, port }) => listen(server, { address, port })));
     await this.#fleet.start();
     this.#tidyTimer.start();
+    this.#loadTimer = setTimeout(() => this.#loadQuarantine(), LEARN_BOXES_MS);
     this.#telemetry.event("info", "box: started", { startMs: Math.round(performance.now()) });
   }
 
@@ -242,6 +256,13 @@
     this.#life.stop(this.#settings.stopGraceMs);
   }
 
+  /** The boxes that watch the store read it; the others are told of it with the next datagrams. */
+  #loadQuarantine(): void {
+    if (this.#view.watchesStore()) {
+      void this.#archive.load();
+    }
+  }
+
   #leave(): void {
     this.#fleet.declare("leaving");
     this.#view.changed();
@@ -268,6 +289,8 @@
   #end(): void {
     const open = this.#runner.answerAll();
     this.#tidyTimer.stop();
+    clearTimeout(this.#loadTimer);
+    this.#archive.stop();
     this.#knowledge.stop();
     this.#fleet.stop();
     this.#telemetry.event("info", "box: stopped", { open });
--- a/quarantine/crash_record.ts
+++ b/quarantine/crash_record.ts
@@ -36,6 +36,14 @@
  */
 const LEAST_LOST_TRIALS = 2;
 
+/** Time after which a record that has not changed is dropped, by what is believed, in milliseconds. */
+export const KEPT_MS: Readonly<Record<Standing, number>> = {
+  suspected: 600_000,
+  quarantined: 86_400_000,
+  // Longer than news of the suspicion can be on its way.
+  cleared: 60_000,
+};
+
 /** A leaf's connection that ended before its answer. */
 export interface LostLeaf {
   readonly fingerprint: string;
--- a/quarantine/quarantine.ts
+++ b/quarantine/quarantine.ts
@@ -11,6 +11,7 @@
 import {
   type CrashRecord,
   clearRecord,
+  KEPT_MS,
   mergeTold,
   noteLostLeaf,
   type ToldCrashes,
@@ -45,14 +46,6 @@
  */
 const QUARANTINE_MS = 600_000;
 
-/** Time after which a record that has not changed is dropped, in milliseconds. */
-const KEPT_MS = {
-  suspected: 600_000,
-  quarantined: 86_400_000,
-  // Longer than news of the suspicion can be on its way.
-  cleared: 60_000,
-} as const;
-
 /**
  * Most records kept; the oldest go first. Far above the few queries that ever end leafs, and some 100 bytes
  * each.
