One clock for a box, which goes on over its suspension

Cause: ages and deadlines were told by the steady clock, which stands still while a box is suspended: leafs, members and budgets came out too young, connections too little rested, and requests were worked on for callers that had gone. Change: where the time of day runs ahead of the steady clock by 250 ms, the clock since boot tells a suspension from a step; it is relied on once it has gone with the steady one for ten seconds. Other boxes are asked at once, and requests whose deadline has passed are answered. Where the platform does not keep a clock since boot the jump is logged and other boxes are asked, no more.

--- a/box/box_shell.ts
+++ b/box/box_shell.ts
@@ -5,6 +5,7 @@
  */
 import type { Server } from "node:http";
 import { LeafCalls } from "../calls/mod.js";
+import { BOX_CLOCK, type ClockJump, nowMs } from "../clock/mod.js";
 import type { ExtraCallBudgets } from "../extra_calls/mod.js";
 import { waitedMs } from "../latency/mod.js";
 import type { Member } from "../model/mod.js";
@@ -226,6 +227,7 @@
   /** Opens all ports and begins to watch the store. */
   async start(): Promise<void> {
     const { address } = this.#settings;
+    BOX_CLOCK.listen((jump) => queueMicrotask(() => this.#timeJumped(jump)));
     this.#knowledge.start();
     await Promise.all(this.#servers.map(({ server, port }) => listen(server, { address, port })));
     await this.#fleet.start();
@@ -323,7 +325,22 @@
     return isWaiting || !this.#knowledge.isComplete || this.#knowledge.leafs.dropAtMs.size > 0;
   }
 
+  /** What was believed before a suspension may no longer hold, so other boxes are asked at once. */
+  #timeJumped({ jumpMs, suspendedMs }: ClockJump): void {
+    this.#telemetry.event("warn", "clock: time of day jumped", {
+      jumpMs: Math.round(jumpMs),
+      suspendedMs: suspendedMs === undefined ? "unknown" : Math.round(suspendedMs),
+    });
+    if (suspendedMs !== 0) {
+      this.#fleet.askAtOnce(this.#view.hearers());
+    }
+    if (suspendedMs !== undefined && suspendedMs > 0) {
+      this.#runner.answerOverdue();
+    }
+  }
+
   #tidy(): void {
+    BOX_CLOCK.look();
     this.#calls.dropOverdue();
     this.#relays.dropOverdue();
     this.#knowledge.dropOverdue();
@@ -334,7 +351,3 @@
     this.#telemetry.noteStore({ calls: this.#store.calls, answeredAgoMs });
   }
 }
-
-function nowMs(): number {
-  return performance.now();
-}
--- a/box/box_telemetry.ts
+++ b/box/box_telemetry.ts
@@ -6,6 +6,7 @@
 import bunyan from "bunyan";
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import sonicBoom from "sonic-boom";
+import { nowMs } from "../clock/mod.js";
 import type { LogEffect } from "../core/mod.js";
 
 /** Lines a second that are written for requests; more are counted and told once a second. */
@@ -103,7 +104,7 @@
   return {
     event: (level, sentence, fields = {}) => log[level](fields, sentence),
     requestLine: (sentence, fields) => {
-      const nowSecond = Math.floor(performance.now() / 1_000);
+      const nowSecond = Math.floor(nowMs() / 1_000);
       if (nowSecond !== second) {
         second = nowSecond;
         lines = 0;
--- a/box/fleet_link.ts
+++ b/box/fleet_link.ts
@@ -107,9 +107,7 @@
   declare(state: MemberState): void {
     const { self, records } = this.#membership;
     this.#membership = { self: { ...self, state, version: self.version + 1 }, records };
-    for (const { member } of records.values()) {
-      this.#ask(member.address);
-    }
+    this.askAtOnce([...records.values()].map(({ member }) => member));
   }
 
   /**
@@ -127,6 +125,17 @@
     }
   }
 
+  /**
+   * Asks boxes at once what they know: after a suspension this one's own knowledge is old.
+   *
+   * @param members - The boxes.
+   */
+  askAtOnce(members: ReadonlyArray<Member>): void {
+    for (const { address } of members) {
+      this.#ask(address);
+    }
+  }
+
   /** Ends the link. */
   stop(): void {
     clearInterval(this.#timer);
--- a/box/registry_watch.ts
+++ b/box/registry_watch.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { nowMs } from "../clock/mod.js";
 import {
   STORE_ANSWER_MS,
   type StoreChanges,
@@ -145,7 +146,7 @@
         });
         continue;
       }
-      this.#askedAtMs = performance.now();
+      this.#askedAtMs = nowMs();
       const pauseMs = this.#revision === undefined ? await this.#list() : await this.#watch();
       if (pauseMs > 0) {
         await new Promise((resolve) => setTimeout(resolve, pauseMs));
@@ -218,7 +219,7 @@
       return 0;
     }
     this.#listener.onChanges(changes.value);
-    return performance.now() < this.#settledAtMs ? SETTLE_GATHER_MS : GATHER_MS;
+    return nowMs() < this.#settledAtMs ? SETTLE_GATHER_MS : GATHER_MS;
   }
 
   #lookAnswerMs(): number {
@@ -227,7 +228,7 @@
 
   #fail(error: StoreError): number {
     this.#failures += 1;
-    const tookMs = Math.round(performance.now() - this.#askedAtMs);
+    const tookMs = Math.round(nowMs() - this.#askedAtMs);
     this.#listener.onFailed({ error, tookMs, failures: this.#failures });
     return BACKOFF_MS[Math.min(this.#failures, BACKOFF_MS.length) - 1] ?? GATHER_MS;
   }
@@ -236,7 +237,7 @@
     this.#listener.onHeard();
     if (this.#failures > 0) {
       this.#failures = 0;
-      this.#settledAtMs = performance.now() + SETTLE_MS;
+      this.#settledAtMs = nowMs() + SETTLE_MS;
       this.#listener.onRegained();
     }
   }
--- a/box/request_runner.ts
+++ b/box/request_runner.ts
@@ -59,6 +59,8 @@
 
 /** A request that is running. */
 export interface RunningRequest {
+  /** Moment at which its final answer is due. */
+  readonly deadlineAtMs: number;
   /** Stops all work, since the caller has gone. */
   callerGone(): void;
   /** Gives the final answer by what is known now, as at its deadline. */
@@ -96,6 +98,18 @@
     return open.length;
   }
 
+  /**
+   * Gives the requests whose deadline has passed their final answers. Timers stand still while the box is
+   * suspended, and would let leafs work for callers that have gone.
+   */
+  answerOverdue(): void {
+    for (const request of [...this.#running]) {
+      if (request.deadlineAtMs <= this.#options.nowMs()) {
+        request.answerNow();
+      }
+    }
+  }
+
   /**
    * Starts a request.
    *
@@ -154,6 +168,10 @@
     });
   }
 
+  get deadlineAtMs(): number {
+    return this.#state.terms.deadlineAtMs;
+  }
+
   callerGone(): void {
     const wasDone = this.#state.done;
     const account = this.#account();
--- a/calls/leaf_connection.ts
+++ b/calls/leaf_connection.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import { buildConnector, Client, type Dispatcher } from "undici";
+import { nowMs } from "../clock/mod.js";
 import type { SocketAddress } from "../platform/mod.js";
 
 /** Time that a new connection has to come up, in milliseconds. */
@@ -35,10 +36,10 @@
   #socket: Socket = null;
   #busy = false;
   #closed = false;
-  #restsSinceMs = performance.now();
+  #restsSinceMs = nowMs();
   /** When the call on it was sent, until its answer begins. */
   #silentSinceMs: number | undefined;
-  #heardAtMs = performance.now();
+  #heardAtMs = nowMs();
   #broken = false;
 
   /**
@@ -58,7 +59,7 @@
           return;
         }
         this.#socket = socket;
-        this.#restsSinceMs = performance.now();
+        this.#restsSinceMs = nowMs();
         this.#heardAtMs = this.#restsSinceMs;
         this.#client = this.#clientOn(`http://${address}:${port}`, socket);
         listener.onOpen(this);
@@ -81,7 +82,7 @@
 
   /** Time since its last call ended, or since it came up, in milliseconds. */
   get restedMs(): number {
-    return performance.now() - this.#restsSinceMs;
+    return nowMs() - this.#restsSinceMs;
   }
 
   /** Moment since which the call on it has no answer; nothing where none is awaited. */
@@ -107,21 +108,21 @@
    */
   send(options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler): void {
     this.#busy = true;
-    this.#silentSinceMs = performance.now();
+    this.#silentSinceMs = nowMs();
     this.#client?.dispatch(options, handler);
   }
 
   /** Says that an answer has begun to come in on it. */
   noteHeard(): void {
     this.#silentSinceMs = undefined;
-    this.#heardAtMs = performance.now();
+    this.#heardAtMs = nowMs();
   }
 
   /** Says that the call on it has ended. */
   release(): void {
     this.#busy = false;
     this.#silentSinceMs = undefined;
-    this.#restsSinceMs = performance.now();
+    this.#restsSinceMs = nowMs();
   }
 
   /** Closes the connection; a call on it fails. */
--- a/calls/leaf_line.ts
+++ b/calls/leaf_line.ts
@@ -167,7 +167,7 @@
 
   /** Whether another connection has got no answer for long, and this one was not heard since either. */
   #mayBeSilent({ heardAtMs }: LeafConnection): boolean {
-    const longAgoMs = performance.now() - SILENT_MS;
+    const longAgoMs = this.#nowMs() - SILENT_MS;
     for (const { silentSinceMs = Number.POSITIVE_INFINITY } of this.#connections) {
       if (silentSinceMs < longAgoMs && heardAtMs < silentSinceMs) {
         return true;
--- /dev/null
+++ b/clock/box_clock.ts
@@ -0,0 +1,23 @@
+/**
+ * The clock of this process. All ages and deadlines of a box are told by it.
+ *
+ * @module
+ */
+import { uptime } from "node:os";
+import { SuspensionClock } from "./suspension_clock.js";
+
+/** The clock of this process. */
+export const BOX_CLOCK = new SuspensionClock({
+  steadyMs: () => performance.now(),
+  epochMs: () => Date.now(),
+  bootMs: () => uptime() * 1_000,
+});
+
+/**
+ * Tells the moment.
+ *
+ * @returns Milliseconds since the process started, suspensions of the box included.
+ */
+export function nowMs(): number {
+  return BOX_CLOCK.nowMs();
+}
--- /dev/null
+++ b/clock/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * The time that has passed, also while the box was suspended.
+ *
+ * @module
+ */
+export * from "./box_clock.js";
+export * from "./suspension_clock.js";
