Show operators the queries under which leafs were lost, and let them clear one

rackvale boxes lists each with what was lost under it; rackvale lift FINGERPRINT clears it on all boxes through one.

--- a/box/box_report.ts
+++ b/box/box_report.ts
@@ -6,11 +6,15 @@
  */
 import type { Leaf, LeafCondition, LeafTable } from "../leafs/mod.js";
 import type { Member, MemberState } from "../model/mod.js";
+import { type CrashRecord, type ToldCrashes, tellRecord } from "../quarantine/mod.js";
 import type { BoxKnowledge } from "./box_knowledge.js";
 
 /** Path at which a box tells it, on its peers' port. */
 export const REPORT_PATH = "/peer/v1/report";
 
+/** Path by which operators clear a query under which leafs were lost; its fingerprint stands behind it. */
+export const LIFT_PATH = "/peer/v1/lift/";
+
 /** How a leaf is seen by a box. */
 export type LeafStanding = "ready" | "warming up" | "draining" | "lapsed" | "gone";
 
@@ -62,6 +66,8 @@
   readonly leafs: ReadonlyArray<LeafReport>;
   /** Extra calls that each service's budget allows at this moment. */
   readonly extraCallsLeft: Readonly<Record<string, number>>;
+  /** Queries under which leafs were lost, the latest change last. */
+  readonly queries: ReadonlyArray<ToldCrashes>;
 }
 
 /** What a report is made from. */
@@ -76,6 +82,7 @@
   readonly runningCount: number;
   readonly members: ReadonlyArray<Member>;
   readonly extraCallsLeft: ReadonlyMap<string, number>;
+  readonly crashRecords: ReadonlyArray<CrashRecord>;
   readonly nowMs: number;
 }
 
@@ -86,7 +93,8 @@
  * @returns The report.
  */
 export function reportBox(reported: ReportedBox): BoxReport {
-  const { box, extraCallsLeft, knowledge, members, nowMs, phase, runningCount } = reported;
+  const { box, crashRecords, extraCallsLeft, knowledge, members, nowMs, phase, runningCount } =
+    reported;
   const { adopted, hearsStore, heardAtMs, isWatcher, leafsRevision } = knowledge;
   const configuration = adopted && {
     version: adopted.version,
@@ -100,6 +108,7 @@
     members: members.map(reportMember),
     leafs: reportLeafs(reported),
     extraCallsLeft: Object.fromEntries(extraCallsLeft),
+    queries: crashRecords.map((record) => tellRecord(record, nowMs)),
   };
 }
 
--- a/box/box_shell.ts
+++ b/box/box_shell.ts
@@ -209,6 +209,7 @@
         advise: (region) => this.#view.advise(region),
         keepMs: () => Math.min(KEEP_MS, this.#settings.mostKeepMs),
         report: () => this.#report(),
+        lift: (fingerprint) => this.#quarantine.lift(fingerprint),
         share: (progress) => this.#knowledge.share(progress),
         relay: {
           nowMs,
@@ -284,6 +285,7 @@
       runningCount: this.#runner.runningCount,
       members: this.#fleet.members(),
       extraCallsLeft: this.#budgets.left(),
+      crashRecords: this.#quarantine.records(),
       nowMs: nowMs(),
     });
   }
--- a/box/side_servers.ts
+++ b/box/side_servers.ts
@@ -12,7 +12,7 @@
   type SocketAddress,
 } from "../platform/mod.js";
 import { answerRelay, RELAY_PATH, type RelayServerOptions } from "../relay/mod.js";
-import { type BoxReport, REPORT_PATH } from "./box_report.js";
+import { type BoxReport, LIFT_PATH, REPORT_PATH } from "./box_report.js";
 import type { Progress } from "./fleet_messages.js";
 import {
   decodeKnowledgeUrl,
@@ -46,6 +46,8 @@
   readonly share: (progress: Progress) => SharedKnowledge;
   /** Gives what this box tells operators of itself. */
   readonly report: () => BoxReport;
+  /** Clears a query under which leafs were lost; tells whether there was anything to clear. */
+  readonly lift: (fingerprint: string) => boolean;
   /** What orders of other boxes are answered from. */
   readonly relay: RelayServerOptions;
   readonly metrics: MetricsPlace | undefined;
@@ -91,7 +93,7 @@
   };
 }
 
-function answerPeer({ relay, report, share }: SideServersOptions): RequestListener {
+function answerPeer({ lift, relay, report, share }: SideServersOptions): RequestListener {
   return (request, response) => {
     if (request.url === RELAY_PATH) {
       answerRelay(request, response, relay);
@@ -101,6 +103,10 @@
     if (url === REPORT_PATH) {
       response.setHeader("Content-Type", "application/json");
       writeText(response, 200, JSON.stringify(report()));
+    } else if (url.startsWith(LIFT_PATH) && request.method === "POST") {
+      const isLifted = lift(url.slice(LIFT_PATH.length));
+      response.setHeader("Content-Type", "application/json");
+      writeText(response, isLifted ? 200 : 404, JSON.stringify({ isLifted }));
     } else if (url.startsWith(KNOWLEDGE_PATH)) {
       response.end(encodeShared(share(decodeKnowledgeUrl(url))));
     } else {
--- a/cli/_fleet_summary.ts
+++ b/cli/_fleet_summary.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { BoxReport } from "../box/box_report.js";
+import type { ToldCrashes } from "../quarantine/mod.js";
 
 /** A box that was asked. */
 export interface AskedBox {
@@ -83,3 +84,22 @@
     return `${dataCentre}: ${here.length} boxes, ${well} well with configuration ${newest}${told}`;
   });
 }
+
+/**
+ * Lists the queries that boxes suspect or do not send any more, each as the box tells it that heard last.
+ *
+ * @param asked - The boxes.
+ * @returns The queries, the latest change first.
+ */
+export function heldQueriesOf(asked: ReadonlyArray<AskedBox>): ReadonlyArray<ToldCrashes> {
+  const latest = new Map<string, ToldCrashes>();
+  for (const query of asked.flatMap(({ report }) => report?.queries ?? [])) {
+    const known = latest.get(query.fingerprint);
+    if (known === undefined || query.changedAgoMs < known.changedAgoMs) {
+      latest.set(query.fingerprint, query);
+    }
+  }
+  return [...latest.values()]
+    .filter(({ standing }) => standing !== "cleared")
+    .toSorted((a, b) => a.changedAgoMs - b.changedAgoMs);
+}
--- a/cli/_fleet_summary_test.ts
+++ b/cli/_fleet_summary_test.ts
@@ -1,6 +1,6 @@
 import t from "tap";
 import type { BoxReport } from "../box/box_report.js";
-import { type AskedBox, differencesOf, summariseFleet } from "./_fleet_summary.js";
+import { type AskedBox, differencesOf, heldQueriesOf, summariseFleet } from "./_fleet_summary.js";
 
 function reportOf(box: string, fields: Partial<BoxReport> = {}): BoxReport {
   const configuration = { version: 12, source: "peer", inForceForMs: 5_000 } as const;
@@ -8,6 +8,7 @@
     ...{ box, phase: "ready", configuration, leafsRevision: 40, isWatcher: false },
     ...{ hearsStore: true, knownAgoMs: 800, running: 0, members: [], leafs: [] },
     extraCallsLeft: { search: 4 },
+    queries: [],
     ...fields,
   };
 }
@@ -41,3 +42,21 @@
     "behind",
   ]);
 });
+
+t.test(
+  "heldQueriesOf() takes the latest word on each query and leaves out what is cleared",
+  async (t) => {
+    const query = { fingerprint: "f", lostLeafs: 4, lostTrials: 2, suspectedAgoMs: 900 } as const;
+    const held = { ...query, standing: "quarantined", changedAgoMs: 300 } as const;
+    const before = { ...query, standing: "suspected", changedAgoMs: 800 } as const;
+    const lifted = { ...held, fingerprint: "g", standing: "cleared", changedAgoMs: 10 } as const;
+    const boxes = [
+      asked("a", "hall-a", {
+        queries: [before, { ...lifted, standing: "suspected", changedAgoMs: 99 }],
+      }),
+      asked("b", "hall-a", { queries: [held, lifted] }),
+      { box: "c", dataCentre: "hall-a", report: undefined },
+    ];
+    t.same(heldQueriesOf(boxes), [held]);
+  },
+);
--- a/cli/boxes_command.ts
+++ b/cli/boxes_command.ts
@@ -3,11 +3,13 @@
  *
  * @module
  */
-import { type BoxReport, type LeafReport, REPORT_PATH } from "../box/box_report.js";
+import { type BoxReport, type LeafReport, LIFT_PATH, REPORT_PATH } from "../box/box_report.js";
+import type { ToldCrashes } from "../quarantine/mod.js";
 import { callEntry } from "./_entry_http.js";
 import {
   type AskedBox,
   differencesOf,
+  heldQueriesOf,
   LOW_BUDGET,
   newestVersionOf,
   summariseFleet,
@@ -41,7 +43,11 @@
     ? chosen.filter((each) => differencesOf(each, newest).length > 0)
     : chosen;
   const summary = isSummary ? summariseFleet(chosen) : [];
-  const lines = [...summary, ...shown.flatMap((each) => describe(each, { withLeafs }))];
+  const lines = [
+    ...summary,
+    ...shown.flatMap((each) => describe(each, { withLeafs })),
+    ...heldQueriesOf(chosen).map(describeQuery),
+  ];
   return { exitCode, lines, data: chosen };
 }
 
@@ -93,6 +99,24 @@
   return `  ${service} ${leafId} in ${dataCentre}: ${standing}, mean ${meanMs} ms, ${openCalls} open${avoided}`;
 }
 
+function describeQuery(query: ToldCrashes): string {
+  const { changedAgoMs, fingerprint, lostLeafs, lostTrials, standing } = query;
+  const lost = `${lostLeafs} leafs lost under it, ${lostTrials} of them asked alone`;
+  return `query ${fingerprint} is ${standing}: ${lost}, last ${seconds(changedAgoMs)} ago`;
+}
+
+async function lift({ settings, words }: CommandContext): Promise<CommandEnd> {
+  const [fingerprint = ""] = words;
+  const path = `${LIFT_PATH}${encodeURIComponent(fingerprint)}`;
+  const { statusCode } = await callEntry(settings.entry, { method: "POST", path });
+  const isLifted = statusCode === 200;
+  const text = isLifted
+    ? `Cleared query "${fingerprint}"; all boxes are told`
+    : `Cannot clear query "${fingerprint}": the box neither suspects nor holds it`;
+  const exitCode = isLifted ? EXIT_CODES.ok : EXIT_CODES.failed;
+  return { exitCode, lines: [text], data: { fingerprint, isLifted } };
+}
+
 function seconds(timeMs: number): string {
   return `${(timeMs / 1_000).toFixed(1)} s`;
 }
@@ -107,4 +131,11 @@
     specs: BOXES_SPECS,
     run: boxes,
   },
+  lift: {
+    usage: "FINGERPRINT",
+    help: "Clears a query under which leafs were lost, on all boxes, asked at one's port for peers; its fingerprint stands in the log line of each of its requests",
+    wordCount: 1,
+    specs: {},
+    run: lift,
+  },
 };
