Fault soak: queries that end leafs, from each box, beside all other faults

Each comes four times to each box; once all boxes know of it at most three runs more may reach leafs, apart from times in which boxes or the store are disturbed.

--- a/fault_soak/fault_handlers.ts
+++ b/fault_soak/fault_handlers.ts
@@ -6,7 +6,7 @@
 import { STRANGE_ENTRIES } from "../platform/standin/mod.js";
 import { pause } from "../standins/waiting.js";
 import type { FaultKind, PlannedFault } from "./fault_plan.js";
-import type { SoakBox, SoakFleet, SoakLeaf } from "./soak_fleet.js";
+import { ENDS_LEAFS, HOST, type SoakBox, type SoakFleet, type SoakLeaf } from "./soak_fleet.js";
 
 /**
  * Brings a fault about and ends it; tells whether it could happen at all.
@@ -19,6 +19,9 @@
 /** Delay of a slow link and of a slow store, in milliseconds. */
 const SLOW_MS = { link: 120, store: 400 } as const;
 
+/** How often a query that ends leafs comes to each box. */
+const CRASHING_ROUNDS = 4;
+
 /** Time that a leaf that drains serves on, in milliseconds. */
 const DRAIN_MS = 3_500;
 
@@ -108,6 +111,17 @@
     }
     return true;
   },
+  crashingQuery: async ({ boxes, fleet }, { target, forMs }) => {
+    const path = `/sweep/?${ENDS_LEAFS}${target}`;
+    for (let round = 1; round <= CRASHING_ROUNDS; round++) {
+      for (const [index, { box }] of boxes.entries()) {
+        const requestId = `crashing-${target}-${round}-${index}`;
+        await fleet.ask(box, { path, requestId, host: HOST }).catch(() => undefined);
+      }
+      await pause(forMs);
+    }
+    return true;
+  },
   storeSilent: onStore("silent"),
   storeDown: onStore("down"),
   storeSlow: async ({ fleet }, { forMs }) => {
--- a/fault_soak/fault_plan.ts
+++ b/fault_soak/fault_plan.ts
@@ -30,7 +30,12 @@
 ] as const;
 
 /** All kinds of faults. */
-export const FAULT_KINDS = [...RECORDED_KINDS, "leafRestarted", "strangeEntries"] as const;
+export const FAULT_KINDS = [
+  ...RECORDED_KINDS,
+  "leafRestarted",
+  "strangeEntries",
+  "crashingQuery",
+] as const;
 
 /** A kind of fault. */
 export type FaultKind = (typeof FAULT_KINDS)[number];
--- a/fault_soak/promises.ts
+++ b/fault_soak/promises.ts
@@ -12,7 +12,7 @@
   seenSignature,
   serviceRecords,
 } from "../platform/standin/mod.js";
-import { LEDGER, RECORDS, SHARDS, type SoakBox, type SoakFleet } from "./soak_fleet.js";
+import { ENDS_LEAFS, LEDGER, RECORDS, SHARDS, type SoakBox, type SoakFleet } from "./soak_fleet.js";
 
 /** Time in which a change in the store is acted on by boxes that nothing disturbs, in milliseconds. */
 const NEWS_DUE_MS = 3_000;
@@ -20,6 +20,9 @@
 /** Time after a disturbance from which boxes must act in time again, in milliseconds. */
 const SOUND_AFTER_MS = 2_500;
 
+/** Runs of a query that ends leafs which are allowed once all boxes know of it. */
+const MOST_LATE_RUNS = 3;
+
 /** Size of a record, in bytes. */
 const RECORD_BYTES = 16;
 
@@ -102,6 +105,7 @@
     this.#judgeRuns();
     this.#judgeDraining(disturbances);
     this.#judgeInForce(disturbances);
+    this.#judgeCrashingQueries(disturbances);
   }
 
   #check(promise: string, holds: boolean, detail: () => string): void {
@@ -202,6 +206,25 @@
     }
   }
 
+  #judgeCrashingQueries(disturbances: ReadonlyArray<Disturbance>): void {
+    const runsByPath = new Map<string, ReadonlyArray<number>>();
+    for (const { path, atMs } of this.#soak.allLeafs.flatMap(({ leaf }) => leaf.runs)) {
+      if (path.includes(ENDS_LEAFS)) {
+        runsByPath.set(path, [...(runsByPath.get(path) ?? []), atMs]);
+      }
+    }
+    for (const [path, moments] of runsByPath) {
+      const thirdAtMs = moments.toSorted((a, b) => a - b)[2] ?? Number.POSITIVE_INFINITY;
+      const dueMs = newsDueAtMs(thirdAtMs, disturbances);
+      const late = moments.filter((atMs) => atMs > dueMs && !isDisturbed(atMs, disturbances));
+      this.#check(
+        "a query that ends leafs is kept from them",
+        late.length <= MOST_LATE_RUNS,
+        () => `${path} ran ${late.length} times more, ${moments.length} in all`,
+      );
+    }
+  }
+
   #judgeInForce(disturbances: ReadonlyArray<Disturbance>): void {
     for (const { seen, version, isServed } of this.#versionRequests) {
       const dueMs = newsDueAtMs(this.#soak.changedAtMs(version), disturbances);
@@ -214,6 +237,13 @@
   }
 }
 
+/** Whether some boxes were not held to bounds on time at a moment. */
+function isDisturbed(atMs: number, disturbances: ReadonlyArray<Disturbance>): boolean {
+  return disturbances.some(({ fromMs, untilMs }) => {
+    return atMs >= fromMs && atMs <= untilMs + SOUND_AFTER_MS;
+  });
+}
+
 /**
  * Moment at which news must be acted on: each disturbance that comes before it puts it off, until boxes
  * must act in time again. What came before that is due then; the two times do not add up.
--- a/fault_soak/soak_fleet.ts
+++ b/fault_soak/soak_fleet.ts
@@ -23,6 +23,9 @@
 /** Host of all routes. */
 export const HOST = "h.example";
 
+/** Part of a path under which leafs end. */
+export const ENDS_LEAFS = "ends-leafs-";
+
 /** Records of each leaf's answer, and those that a gathered answer holds. */
 export const RECORDS = { perLeaf: 8, top: 5 } as const;
 
@@ -132,6 +135,7 @@
       service,
       dataCentre,
       recordCount: RECORDS.perLeaf,
+      endsUnder: ENDS_LEAFS,
       openFront: (port) => {
         const link = new LinkProxy(port);
         links.push(link);
