Take datagrams and orders of other boxes only where each value is what it should be

Cause: values were taken as they came and told on: an address that was a number ended each box that picked the member. Ruled out: schemas for datagrams, 87 ms of processor time for the 205 of a start of 195 boxes, 8 ms by hand.

--- a/box/fleet_messages.ts
+++ b/box/fleet_messages.ts
@@ -6,8 +6,14 @@
  * @module
  */
 import { deflateRawSync, inflateRawSync } from "node:zlib";
-import type { Member, MemberState } from "../model/mod.js";
+import type { Member } from "../model/mod.js";
 import type { Standing, ToldCrashes } from "../quarantine/mod.js";
+import {
+  type CrashFields,
+  type FleetMessageKind,
+  isMessageFields,
+  type MemberFields,
+} from "./_fleet_fields.js";
 
 /** How far a box is with what lasts in the store. */
 export interface Progress {
@@ -17,8 +23,7 @@
   readonly leafsRevision: number;
 }
 
-/** What a datagram is for. */
-export type FleetMessageKind = "ask" | "answer" | "news";
+export type { FleetMessageKind };
 
 /** One datagram. */
 export interface FleetMessage {
@@ -46,38 +51,6 @@
 /** How datagrams are inflated: 14 µs each, with the usual options 32. */
 const INFLATE = { windowBits: 12, chunkSize: 4_096, maxOutputLength: MAX_MESSAGE_BYTES } as const;
 
-type MemberFields = readonly [
-  memberId: string,
-  incarnation: string,
-  startedAtEpochMs: number,
-  version: number,
-  state: MemberState,
-  dataCentre: string,
-  address: string,
-  peerPort: number,
-  callerPort: number,
-  processorCores: number,
-];
-
-type MessageFields = readonly [
-  kind: FleetMessageKind,
-  number: number,
-  configurationVersion: number,
-  leafsRevision: number,
-  members: ReadonlyArray<MemberFields>,
-  /** Left out where there are none. */
-  crashes?: ReadonlyArray<CrashFields>,
-];
-
-type CrashFields = readonly [
-  fingerprint: string,
-  standing: Standing,
-  lostLeafs: number,
-  lostTrials: number,
-  suspectedAgoMs: number,
-  changedAgoMs: number,
-];
-
 /**
  * Writes a datagram.
  *
@@ -94,7 +67,7 @@
 }
 
 /**
- * Reads a datagram. Boxes trust one another; only what is no message at all is turned away.
+ * Reads a datagram.
  *
  * @param data - Its bytes.
  * @returns What it says, or nothing where it is no message.
@@ -102,7 +75,10 @@
 export function decodeFleetMessage(data: Buffer): FleetMessage | undefined {
   try {
     const text = inflateRawSync(data, INFLATE).toString("utf8");
-    const fields = JSON.parse(text) as MessageFields;
+    const fields: unknown = JSON.parse(text);
+    if (!isMessageFields(fields)) {
+      return undefined;
+    }
     const [kind, number, configurationVersion, leafsRevision, listed, told = []] = fields;
     const progress = { configurationVersion, leafsRevision };
     const crashes = told.flatMap(fromCrashFields);
@@ -121,13 +97,17 @@
 /** A standing that this version does not know is passed over. */
 function fromCrashFields(fields: CrashFields): ReadonlyArray<ToldCrashes> {
   const [fingerprint, standing, lostLeafs, lostTrials, suspectedAgoMs, changedAgoMs] = fields;
-  return STANDINGS.has(standing)
+  return isStanding(standing)
     ? [{ fingerprint, standing, lostLeafs, lostTrials, suspectedAgoMs, changedAgoMs }]
     : [];
 }
 
 const STANDINGS: ReadonlySet<string> = new Set<Standing>(["suspected", "quarantined", "cleared"]);
 
+function isStanding(text: string): text is Standing {
+  return STANDINGS.has(text);
+}
+
 function toFields(member: Member): MemberFields {
   return [
     member.memberId,
--- a/relay/relay_order.ts
+++ b/relay/relay_order.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import { deflateRawSync, inflateRawSync } from "node:zlib";
+import * as z from "zod/mini";
 
 /** Longest order taken, in bytes; far above what callers' headers and a query's shards come to. */
 const MAX_ORDER_BYTES = 1_048_576;
@@ -46,17 +47,27 @@
 /** What a box asks another for. */
 export type RelayOrder = MergedOrder | SeparateOrder;
 
-type OrderFields = readonly [
-  kind: RelayOrder["kind"],
-  requestId: string,
-  method: string,
-  path: string,
-  headers: ReadonlyArray<string>,
-  topRecords: number,
-  leftMs: number,
-  services: ReadonlyArray<string>,
-  ...rest: ReadonlyArray<unknown>,
-];
+/**
+ * What an order must hold, in this sequence. A box that took it as it comes would end under one whose
+ * values are of other types, and the box that asked would turn to the next.
+ */
+const REQUEST_FIELDS = [
+  z.string(), // id of the request
+  z.string(), // method
+  z.string(), // path
+  z.array(z.string()).check(z.refine((headers) => headers.length % 2 === 0)),
+  z.int().check(z.minimum(0)), // records wanted
+  z.number(), // time left
+  z.array(z.string()), // services
+] as const;
+const MERGED_FIELDS = z.tuple([z.literal("merged"), ...REQUEST_FIELDS, z.number()]);
+const SEPARATE_FIELDS = z.tuple([
+  z.literal("separate"),
+  ...REQUEST_FIELDS,
+  z.array(z.string()), // leafs, one for each service
+  z.string(), // least record wanted
+]);
+const ORDER_FIELDS = z.union([MERGED_FIELDS, SEPARATE_FIELDS]);
 
 const ORDER_ENCODERS: {
   readonly [K in RelayOrder["kind"]]: (
@@ -94,22 +105,25 @@
   return order.kind === "merged" ? order.services : order.calls.map(({ service }) => service);
 }
 
-const ORDER_DECODERS: {
-  readonly [K in RelayOrder["kind"]]: (request: OrderedRequest, fields: OrderFields) => RelayOrder;
-} = {
-  merged: (request, [, , , , , , , services, patienceMs]) => {
-    return { ...request, kind: "merged", services, patienceMs: Number(patienceMs) };
-  },
-  separate: (request, [, , , , , , , services, leafIds, least]) => {
-    const leastRecord = least === "" ? undefined : Buffer.from(String(least), "base64");
-    const ids = Array.isArray(leafIds) ? leafIds : [];
-    const calls = services.map((service, index) => ({ service, leafId: String(ids[index]) }));
-    return { ...request, kind: "separate", calls, leastRecord };
-  },
-};
+function mergedOrder(fields: z.infer<typeof MERGED_FIELDS>): MergedOrder {
+  const [kind, requestId, method, path, headers, topRecords, leftMs, services, patienceMs] = fields;
+  const request = { requestId, method, path, headers, topRecords, leftMs };
+  return { kind, ...request, services, patienceMs };
+}
+
+function separateOrder(fields: z.infer<typeof SEPARATE_FIELDS>): SeparateOrder | undefined {
+  const [kind, requestId, method, path, headers, topRecords, leftMs, services, ...rest] = fields;
+  const [leafIds, least] = rest;
+  if (leafIds.length !== services.length) {
+    return undefined;
+  }
+  const leastRecord = least === "" ? undefined : Buffer.from(least, "base64");
+  const calls = services.map((service, index) => ({ service, leafId: leafIds[index] ?? "" }));
+  return { kind, requestId, method, path, headers, topRecords, leftMs, calls, leastRecord };
+}
 
 /**
- * Reads an order. Boxes trust one another; only what is no order at all is turned away.
+ * Reads an order.
  *
  * @param body - Its bytes.
  * @returns The order, or nothing where it is none.
@@ -117,13 +131,12 @@
 export function decodeOrder(body: Buffer): RelayOrder | undefined {
   try {
     const plain = inflateRawSync(body, { maxOutputLength: MAX_ORDER_BYTES });
-    const fields = JSON.parse(plain.toString("utf8")) as OrderFields;
-    const [kind, requestId, method, path, headers, topRecords, leftMs, services] = fields;
-    if (!Object.hasOwn(ORDER_DECODERS, kind) || !Array.isArray(services)) {
+    const fields = ORDER_FIELDS.safeParse(JSON.parse(plain.toString("utf8")));
+    if (!fields.success) {
       return undefined;
     }
-    const request = { requestId, method, path, headers, topRecords, leftMs };
-    return ORDER_DECODERS[kind](request, fields);
+    const { data } = fields;
+    return data[0] === "merged" ? mergedOrder(data) : separateOrder(data);
   } catch {
     return undefined;
   }
