--- a/calls/leaf_calls_test.ts
+++ b/calls/leaf_calls_test.ts
@@ -206,3 +206,38 @@
     learn(calls, []);
   },
 );
+
+// A leaf's answer was read to its end whatever its length, and held until the request was answered. One query
+// whose answer does not end would take all memory of the box that asked, its caller would turn to the next
+// box, and so on: the process went from 73 to 1,021 MB within two seconds of such an answer.
+t.test("an answer that does not end is given up, and its connection with it", async (t) => {
+  const piece = Buffer.alloc(1_048_576);
+  let sentBytes = 0;
+  let isClosed = false;
+  const server = createServer((request, response) => {
+    response.on("close", () => {
+      isClosed = true;
+    });
+    response.on("error", () => undefined);
+    response.setHeader(LEAF_HEADERS.requestId, String(request.headers[LEAF_HEADERS.requestId]));
+    const write = (): void => {
+      while (!isClosed && response.write(piece)) {
+        sentBytes += piece.length;
+      }
+      sentBytes += piece.length;
+    };
+    response.on("drain", write);
+    write();
+  });
+  await new Promise<void>((resolve) => server.listen(0, LOOPBACK, resolve));
+  t.teardown(() => {
+    server.closeAllConnections();
+    server.close();
+  });
+  const calls = makeCalls();
+  const outcome = await call(calls, portOf(server), { leftMs: 2_000 });
+  t.match(outcome, { kind: "failed", sent: true, reason: "answer is too long" });
+  t.ok(sentBytes < 64 * piece.length, `the leaf got rid of ${sentBytes} bytes`);
+  await new Promise((resolve) => setTimeout(resolve, 100));
+  t.ok(isClosed, "the connection is closed");
+});
