Bound the answers of leafs that one request holds

Cause: answers were read to their end whatever their length. Change: all answers of a request together hold 48 MB at most; a longer one ends as a failed call and its connection with it.

--- a/box/request_runner.ts
+++ b/box/request_runner.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { OpenCall } from "../calls/mod.js";
+import { mostAnswerBytes, type OpenCall } from "../calls/mod.js";
 import type { Step } from "../core/mod.js";
 import type { Placement } from "../leafs/mod.js";
 import {
@@ -245,7 +245,9 @@
     }
     const { requestId, route } = this.#options.terms;
     const { repeatable } = route;
-    const call = { leaf, requestId, ...this.#options.forwarded, repeatable, deadlineAtMs, isTrial };
+    const mostBytes = mostAnswerBytes(this.#options.services.length);
+    const terms = { repeatable, deadlineAtMs, isTrial, mostBytes };
+    const call = { leaf, requestId, ...this.#options.forwarded, ...terms };
     const open = this.#box.calls.send(call, (outcome) => {
       this.#openCalls.delete(attemptId);
       this.#noteEnd(leafId, outcome);
--- a/calls/_answer_reader.ts
+++ b/calls/_answer_reader.ts
@@ -17,6 +17,9 @@
 /** Why a call ended that this box took back. */
 export const ABANDONED = "abandoned";
 
+/** Why a call ended whose answer is longer than what is taken. */
+const TOO_LONG = "answer is too long";
+
 /** How a call ended, with what the leaf told beside it. */
 export interface EndedCall {
   readonly outcome: AttemptOutcome;
@@ -34,6 +37,7 @@
   #statusCode = 0;
   #headers: AnswerHeaders = {};
   readonly #chunks: Array<Buffer> = [];
+  #sizeBytes = 0;
 
   constructor(call: LeafCall, nowMs: () => number, onEnd: (ended: EndedCall) => void) {
     this.#call = call;
@@ -104,7 +108,14 @@
     this.#headers = headers;
   }
 
-  onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
+  onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    this.#sizeBytes += chunk.length;
+    if (this.#sizeBytes > this.#call.mostBytes) {
+      this.#chunks.length = 0;
+      this.#fail(TOO_LONG);
+      controller.abort(new Error(TOO_LONG));
+      return;
+    }
     this.#chunks.push(chunk);
   }
 
--- a/calls/_leaf_call_harness.ts
+++ b/calls/_leaf_call_harness.ts
@@ -8,7 +8,7 @@
 import { LEAF_HEADERS } from "../platform/mod.js";
 import { Quarantine } from "../quarantine/mod.js";
 import type { AttemptOutcome } from "../request/mod.js";
-import type { LeafCall } from "./leaf_call.js";
+import { type LeafCall, mostAnswerBytes } from "./leaf_call.js";
 import { LeafCalls } from "./leaf_calls.js";
 
 export const LOOPBACK = "127.0.0.1";
@@ -78,6 +78,7 @@
     body: undefined,
     fingerprint: requestId,
     isTrial: false,
+    mostBytes: mostAnswerBytes(1),
     repeatable,
     deadlineAtMs: performance.now() + leftMs,
   };
--- a/calls/leaf_call.ts
+++ b/calls/leaf_call.ts
@@ -18,8 +18,27 @@
   readonly fingerprint: string;
   /** Whether it is the only call of a query under which leafs were lost. */
   readonly isTrial: boolean;
+  /** Longest answer that is taken, in bytes. */
+  readonly mostBytes: number;
   /** Whether it may run more than once. */
   readonly repeatable: boolean;
   /** Moment at which the answer is of no more use, on this box's clock. */
   readonly deadlineAtMs: number;
 }
+
+/**
+ * Longest answers of one request that a box holds together, in bytes: a fifth of the least memory of a box, where
+ * parts of a query come to some 130 KB and single answers to less. One without an end took 1 GB within two
+ * seconds, and the caller would have turned to the next box.
+ */
+const MOST_REQUEST_BYTES = 48 * 1_048_576;
+
+/**
+ * Tells how long the answer to one call may be, so that all of a request's together are bounded.
+ *
+ * @param shardCount - Shards of the request.
+ * @returns The length, in bytes.
+ */
+export function mostAnswerBytes(shardCount: number): number {
+  return Math.floor(MOST_REQUEST_BYTES / Math.max(1, shardCount));
+}
--- a/relay/_ordered_call.ts
+++ b/relay/_ordered_call.ts
@@ -3,9 +3,9 @@
  *
  * @module
  */
-import type { LeafCall } from "../calls/mod.js";
+import { type LeafCall, mostAnswerBytes } from "../calls/mod.js";
 import { requestFingerprint } from "../quarantine/mod.js";
-import type { RelayOrder } from "./relay_order.js";
+import { type RelayOrder, servicesOf } from "./relay_order.js";
 
 /** What all calls of an order share. */
 export type OrderedCall = Omit<LeafCall, "leaf" | "deadlineAtMs">;
@@ -16,11 +16,13 @@
  * @param order - The order.
  * @returns The calls' common part; only requests without a body are ordered.
  */
-export function orderedCall({ requestId, method, path, headers }: RelayOrder): OrderedCall {
+export function orderedCall(order: RelayOrder): OrderedCall {
+  const { requestId, method, path, headers } = order;
   const body = undefined;
   const fingerprint = requestFingerprint({ method, caller: hostOf(headers), path, body });
   const content = { requestId, method, path, headers, body, fingerprint };
-  return { ...content, repeatable: true, isTrial: false };
+  const mostBytes = mostAnswerBytes(servicesOf(order).length);
+  return { ...content, mostBytes, repeatable: true, isTrial: false };
 }
 
 function hostOf(headers: ReadonlyArray<string>): string {
