--- a/box/box_shell.ts
+++ b/box/box_shell.ts
@@ -5,7 +5,7 @@
  */
 import type { Server } from "node:http";
 import { LeafCalls } from "../calls/mod.js";
-import { BOX_CLOCK, type ClockJump, nowMs } from "../clock/mod.js";
+import { BOX_CLOCK, nowMs } from "../clock/mod.js";
 import type { ExtraCallBudgets } from "../extra_calls/mod.js";
 import { waitedMs } from "../latency/mod.js";
 import type { Member } from "../model/mod.js";
@@ -15,6 +15,7 @@
 import { listen } from "./_listen.js";
 import { makeBudgets } from "./_make_budgets.js";
 import { makeFleetLink } from "./_make_fleet_link.js";
+import { makeIntake } from "./_make_intake.js";
 import { makeQuarantine } from "./_make_quarantine.js";
 import { makeRunner } from "./_make_runner.js";
 import { AdaptiveTimer } from "./adaptive_timer.js";
@@ -28,10 +29,10 @@
 import { QuarantineArchive } from "./quarantine_archive.js";
 import { watchWaitMs } from "./registry_watch.js";
 import { RelayPlaces } from "./relay_places.js";
-import { RequestIntake } from "./request_intake.js";
 import type { RequestRunner } from "./request_runner.js";
-import { type CompiledPolicies, RoutePolicies } from "./route_policies.js";
+import type { CompiledPolicies } from "./route_policies.js";
 import { type MetricsPlace, type ServerAtPort, sideServers } from "./side_servers.js";
+import { takeTimeJump } from "./time_jump.js";
 
 /** Time that callers may keep an answer of the directory, in milliseconds; at most the setting. */
 const KEEP_MS = 5_000;
@@ -45,9 +46,6 @@
  */
 const TIDY_IDLE_EVERY_MS = 1_000;
 
-/** Time after the start in which a box learns of the others, in milliseconds. */
-const LEARN_BOXES_MS = 1_000;
-
 /** Bodies taken before a configuration sets the limit, in bytes. */
 const DEFAULT_MAX_BODY_BYTES = 262_144;
 
@@ -85,7 +83,6 @@
   readonly #servers: ReadonlyArray<ServerAtPort>;
   readonly #view: FleetView;
   readonly #life: BoxLife;
-  #loadTimer: NodeJS.Timeout | undefined;
   readonly #tidyTimer = new AdaptiveTimer({
     busyMs: TIDY_EVERY_MS,
     idleMs: TIDY_IDLE_EVERY_MS,
@@ -182,14 +179,12 @@
       },
       telemetry,
     });
-    const intake = new RequestIntake({
+    const intake = makeIntake({
       nowMs,
       knowledge: this.#knowledge,
       telemetry,
       runner: this.#runner,
-      policies: new RoutePolicies(policies, (policy, reason) => {
-        telemetry.event("warn", "policy: program failed, its default holds", { policy, reason });
-      }),
+      programs: policies,
       countBoxes: () => this.#view.countBoxes(),
     });
     this.#callerServer = callerServer({
@@ -228,12 +223,19 @@
   /** Opens all ports and begins to watch the store. */
   async start(): Promise<void> {
     const { address } = this.#settings;
-    BOX_CLOCK.listen((jump) => queueMicrotask(() => this.#timeJumped(jump)));
+    const told = {
+      fleet: this.#fleet,
+      view: this.#view,
+      runner: this.#runner,
+      telemetry: this.#telemetry,
+    };
+    // Not while a moment is being told.
+    BOX_CLOCK.listen((jump) => queueMicrotask(() => takeTimeJump(jump, told)));
     this.#knowledge.start();
     await Promise.all(this.#servers.map(({ server, port }) => listen(server, { address, port })));
     await this.#fleet.start();
     this.#tidyTimer.start();
-    this.#loadTimer = setTimeout(() => this.#loadQuarantine(), LEARN_BOXES_MS);
+    this.#archive.loadSoon(() => this.#view.watchesStore());
     this.#telemetry.event("info", "box: started", { startMs: Math.round(performance.now()) });
   }
 
@@ -259,13 +261,6 @@
     this.#life.stop(this.#settings.stopGraceMs);
   }
 
-  /** The boxes that watch the store read it; the others are told of it with the next datagrams. */
-  #loadQuarantine(): void {
-    if (this.#view.watchesStore()) {
-      void this.#archive.load();
-    }
-  }
-
   #leave(): void {
     this.#fleet.declare("leaving");
     this.#view.changed();
@@ -293,7 +288,6 @@
   #end(): void {
     const open = this.#runner.answerAll();
     this.#tidyTimer.stop();
-    clearTimeout(this.#loadTimer);
     this.#archive.stop();
     this.#knowledge.stop();
     this.#fleet.stop();
@@ -327,20 +321,6 @@
     return isWaiting || !this.#knowledge.isComplete || this.#knowledge.leafs.dropAtMs.size > 0;
   }
 
-  /** What was believed before a suspension may no longer hold, so other boxes are asked at once. */
-  #timeJumped({ jumpMs, suspendedMs }: ClockJump): void {
-    this.#telemetry.event("warn", "clock: time of day jumped", {
-      jumpMs: Math.round(jumpMs),
-      suspendedMs: suspendedMs === undefined ? "unknown" : Math.round(suspendedMs),
-    });
-    if (suspendedMs !== 0) {
-      this.#fleet.askAtOnce(this.#view.hearers());
-    }
-    if (suspendedMs !== undefined && suspendedMs > 0) {
-      this.#runner.answerOverdue();
-    }
-  }
-
   #tidy(): void {
     BOX_CLOCK.look();
     this.#calls.dropOverdue();
--- a/box/quarantine_archive.ts
+++ b/box/quarantine_archive.ts
@@ -13,6 +13,9 @@
 import { type CrashRecord, KEPT_MS, type ToldCrashes, tellRecord } from "../quarantine/mod.js";
 import type { BoxTelemetry } from "./box_telemetry.js";
 
+/** Time after the start in which a box learns of the others, in milliseconds. */
+const LEARN_BOXES_MS = 1_000;
+
 /** Time between two tries while the store does not do what it is asked, in milliseconds. */
 const RETRY_MS = 1_000;
 
@@ -34,6 +37,7 @@
 export class QuarantineArchive {
   readonly #options: QuarantineArchiveOptions;
   #isStopped = false;
+  #timer: NodeJS.Timeout | undefined;
 
   /**
    * @param options - What the archive needs of its box.
@@ -42,6 +46,19 @@
     this.#options = options;
   }
 
+  /**
+   * Reads what earlier lives have left, once this box has learnt of the others.
+   *
+   * @param isReader - Tells then whether this box is to read; the others are told by those that do.
+   */
+  loadSoon(isReader: () => boolean): void {
+    this.#timer = setTimeout(() => {
+      if (isReader()) {
+        void this.load();
+      }
+    }, LEARN_BOXES_MS);
+  }
+
   /** Reads what earlier lives have left, until the store has answered. */
   async load(): Promise<void> {
     await this.#untilDone("load", async () => {
@@ -80,6 +97,7 @@
   /** Ends all tries. */
   stop(): void {
     this.#isStopped = true;
+    clearTimeout(this.#timer);
   }
 
   async #create(record: CrashRecord): Promise<string | undefined> {
--- /dev/null
+++ b/box/time_jump.ts
@@ -0,0 +1,42 @@
+/**
+ * What a box does when the time of day has jumped forward: it may have been suspended.
+ *
+ * @module
+ */
+import type { ClockJump } from "../clock/mod.js";
+import type { BoxTelemetry } from "./box_telemetry.js";
+import type { FleetLink } from "./fleet_link.js";
+import type { FleetView } from "./fleet_view.js";
+import type { RequestRunner } from "./request_runner.js";
+
+/** What is told of a jump. */
+export interface TimeJumpOptions {
+  readonly fleet: Pick<FleetLink, "askAtOnce">;
+  readonly view: Pick<FleetView, "hearers">;
+  readonly runner: Pick<RequestRunner, "answerOverdue">;
+  readonly telemetry: Pick<BoxTelemetry, "event">;
+}
+
+/**
+ * Takes in a jump. What was believed before a suspension may no longer hold, so other boxes are asked at once
+ * unless the time of day was only stepped; requests are answered whose deadline passed meanwhile.
+ *
+ * @param jump - The jump.
+ * @param options - What is told of it.
+ */
+export function takeTimeJump(
+  { jumpMs, suspendedMs }: ClockJump,
+  { fleet, runner, telemetry, view }: TimeJumpOptions,
+): void {
+  telemetry.event("warn", "clock: time of day jumped", {
+    jumpMs: Math.round(jumpMs),
+    suspendedMs: suspendedMs === undefined ? "unknown" : Math.round(suspendedMs),
+  });
+  if (suspendedMs === 0) {
+    return;
+  }
+  fleet.askAtOnce(view.hearers());
+  if (suspendedMs !== undefined) {
+    runner.answerOverdue();
+  }
+}
