Tell other boxes of a lost leaf where the request ended without an answer

Cause: a single lost leaf was told to no other box, so that a request that is sent to one leaf only cost each box one. Change: a query that lost a leaf is told once a request for it has ended without any answer; with fewer than three lost leafs any box that is asked may try it, alone, at any time. News is gathered for 10 ms, the latest changes go first.

--- a/box/_make_quarantine.ts
+++ b/box/_make_quarantine.ts
@@ -36,7 +36,8 @@
  * @returns The quarantine.
  */
 export function makeQuarantine(options: MakeQuarantineOptions): Quarantine {
-  const { alive, box, calls, keep, nowMs, tell, telemetry } = options;
+  const { alive, box, calls, keep, nowMs, telemetry } = options;
+  const tell = gathered(options.tell);
   return new Quarantine({
     nowMs,
     isTrialBox: (fingerprint) => {
@@ -61,3 +62,23 @@
     },
   });
 }
+
+/**
+ * Time in which news is gathered before it is told, in milliseconds: with a rack of leafs dozens of queries may
+ * fail within a few, and each notice goes to all boxes of the region.
+ */
+const GATHER_MS = 10;
+
+function gathered(act: () => void): () => void {
+  let isDue = false;
+  return () => {
+    if (isDue) {
+      return;
+    }
+    isDue = true;
+    setTimeout(() => {
+      isDue = false;
+      act();
+    }, GATHER_MS);
+  };
+}
--- a/box/fleet_link.ts
+++ b/box/fleet_link.ts
@@ -65,6 +65,7 @@
   #number = 0;
   #asked: { readonly number: number; readonly memberId: string } | undefined;
   #timer: NodeJS.Timeout | undefined;
+  #isStopped = false;
   #askAgainTimer: NodeJS.Timeout | undefined;
 
   /**
@@ -119,6 +120,9 @@
     const { crashes, port, progress } = this.#options;
     const { self } = this.#membership;
     const known = { progress: progress(), crashes: crashes() };
+    if (this.#isStopped) {
+      return;
+    }
     const data = encodeFleetMessage({ kind: "news", number: 0, members: [self], ...known });
     for (const { address } of members) {
       this.#socket.send(data, port, address);
@@ -140,6 +144,7 @@
   stop(): void {
     clearInterval(this.#timer);
     clearTimeout(this.#askAgainTimer);
+    this.#isStopped = true;
     this.#socket.close();
   }
 
--- a/box/quarantine_archive_test.ts
+++ b/box/quarantine_archive_test.ts
@@ -11,6 +11,7 @@
   standing: "quarantined",
   lostLeafs: 4,
   lostTrials: 2,
+  hasFailed: true,
   suspectedAtMs: 1_000,
   changedAtMs: 1_500,
 };
--- a/box/request_runner.ts
+++ b/box/request_runner.ts
@@ -271,6 +271,9 @@
     for (const timer of this.#timers.values()) {
       clearTimeout(timer);
     }
+    if (this.#state.partsIn === 0) {
+      this.#box.quarantine.noteFailed(this.#options.forwarded.fingerprint);
+    }
     this.#onDone();
   }
 }
--- a/quarantine/crash_record.ts
+++ b/quarantine/crash_record.ts
@@ -21,6 +21,8 @@
   readonly lostLeafs: number;
   /** Those of them that were asked alone, after the first loss. */
   readonly lostTrials: number;
+  /** Whether a request for it has ended without any answer of a leaf. */
+  readonly hasFailed: boolean;
   /** Moment of the first loss, on this box's clock, in milliseconds. */
   readonly suspectedAtMs: number;
   /** Moment of what last changed the record, on this box's clock, in milliseconds. */
@@ -28,7 +30,7 @@
 }
 
 /** Losses below which a query is not quarantined: a request to one leaf and its retry lose two by bad luck. */
-const LEAST_LOST_LEAFS = 3;
+export const LEAST_LOST_LEAFS = 3;
 
 /**
  * Lost trials below which it is not quarantined: a leaf that another query ends takes all with it that it
@@ -64,8 +66,9 @@
   { fingerprint, isTrial, nowMs }: LostLeaf,
 ): CrashRecord {
   if (record === undefined || record.standing === "cleared") {
-    const first = { lostLeafs: 1, lostTrials: 0, suspectedAtMs: nowMs, changedAtMs: nowMs };
-    return { fingerprint, standing: "suspected", ...first };
+    const first = { lostLeafs: 1, lostTrials: 0, hasFailed: false };
+    const moments = { suspectedAtMs: nowMs, changedAtMs: nowMs };
+    return { fingerprint, standing: "suspected", ...first, ...moments };
   }
   const lostLeafs = record.lostLeafs + 1;
   const lostTrials = record.lostTrials + (isTrial ? 1 : 0);
@@ -83,7 +86,8 @@
  * @returns What is believed now.
  */
 export function clearRecord(record: CrashRecord, nowMs: number): CrashRecord {
-  return { ...record, standing: "cleared", lostLeafs: 0, lostTrials: 0, changedAtMs: nowMs };
+  const nothing = { lostLeafs: 0, lostTrials: 0, hasFailed: false };
+  return { ...record, ...nothing, standing: "cleared", changedAtMs: nowMs };
 }
 
 /** What another box, or the store, tells of a query; moments as ages, as clocks differ. */
@@ -103,10 +107,11 @@
  * @returns What is told.
  */
 export function tellRecord(
-  { suspectedAtMs, changedAtMs, ...rest }: CrashRecord,
+  { fingerprint, standing, lostLeafs, lostTrials, suspectedAtMs, changedAtMs }: CrashRecord,
   nowMs: number,
 ): ToldCrashes {
-  return { ...rest, suspectedAgoMs: nowMs - suspectedAtMs, changedAgoMs: nowMs - changedAtMs };
+  const seen = { fingerprint, standing, lostLeafs, lostTrials };
+  return { ...seen, suspectedAgoMs: nowMs - suspectedAtMs, changedAgoMs: nowMs - changedAtMs };
 }
 
 /**
@@ -123,7 +128,8 @@
   nowMs: number,
 ): CrashRecord {
   const suspectedAtMs = nowMs - suspectedAgoMs;
-  const told = { ...rest, suspectedAtMs, changedAtMs: nowMs - changedAgoMs };
+  // Only a query that has failed, or has lost several leafs, is told of.
+  const told = { ...rest, hasFailed: true, suspectedAtMs, changedAtMs: nowMs - changedAgoMs };
   if (own === undefined) {
     return told;
   }
@@ -141,6 +147,7 @@
     standing: isStronger ? "quarantined" : own.standing,
     lostLeafs: Math.max(own.lostLeafs, told.lostLeafs),
     lostTrials: Math.max(own.lostTrials, told.lostTrials),
+    hasFailed: true,
     suspectedAtMs: Math.min(own.suspectedAtMs, suspectedAtMs),
     changedAtMs: Math.max(own.changedAtMs, told.changedAtMs),
   };
--- a/quarantine/quarantine.ts
+++ b/quarantine/quarantine.ts
@@ -12,6 +12,7 @@
   type CrashRecord,
   clearRecord,
   KEPT_MS,
+  LEAST_LOST_LEAFS,
   mergeTold,
   noteLostLeaf,
   type ToldCrashes,
@@ -31,8 +32,10 @@
   | "held";
 
 /**
- * Time after the first loss for which any box may try a suspect, in milliseconds. All boxes know of it by
- * then, and later trials, of which every box could make one, are left to one box.
+ * Time after the first loss for which any box may try a suspect that has lost three leafs, in milliseconds. All
+ * boxes know of it by then, and later trials, of which every box could make one, are left to one box. With
+ * fewer losses any box may try it at any time: a lookup that lost its leaf would else be refused at six of
+ * seven boxes when its caller asks again some seconds later.
  */
 const TRIAL_ANYWHERE_MS = 1_500;
 
@@ -52,7 +55,10 @@
  */
 const MOST_RECORDS = 512;
 
-/** Losses from which on other boxes are told: a single one is most often a leaf that ended by itself. */
+/**
+ * Losses from which on other boxes are told whatever became of the request: a single one is most often a leaf
+ * that ended by itself, and another leaf answers in its place.
+ */
 const LEAST_TOLD_LOSSES = 2;
 
 /** When the caller of a suspect may come back, in milliseconds: a trial takes about a tenth of that. */
@@ -118,7 +124,8 @@
       return "later";
     }
     const isYoung = nowMs - record.suspectedAtMs < TRIAL_ANYWHERE_MS;
-    return isYoung || this.#options.isTrialBox(fingerprint) ? "alone" : "held";
+    const isWeak = record.lostLeafs < LEAST_LOST_LEAFS;
+    return isYoung || isWeak || this.#options.isTrialBox(fingerprint) ? "alone" : "held";
   }
 
   /**
@@ -186,6 +193,19 @@
     this.#set(noteLostLeaf(record, { fingerprint, isTrial, nowMs }), "own");
   }
 
+  /**
+   * Notes that a request has ended without any answer of a leaf. One that is sent to a single leaf loses no
+   * more than that, so other boxes would each lose one as well before they knew.
+   *
+   * @param fingerprint - The query.
+   */
+  noteFailed(fingerprint: string): void {
+    const record = this.#records.get(fingerprint);
+    if (record?.standing === "suspected" && !record.hasFailed) {
+      this.#set({ ...record, hasFailed: true }, "own");
+    }
+  }
+
   /**
    * Takes in what another box, or the store, tells.
    *
@@ -232,7 +252,8 @@
   /**
    * Lists what other boxes are to know.
    *
-   * @param most - Most records; by chance, where there are more.
+   * @param most - Most records. Where there are more, the latest changes fill three quarters, the rest others
+   *   by chance, so that each is told in the end.
    * @returns What they are told.
    */
   tell(most: number): ReadonlyArray<ToldCrashes> {
@@ -242,10 +263,7 @@
     this.#dropOld();
     const nowMs = this.#options.nowMs();
     const all = [...this.#records.values()].filter(isTold);
-    const first = all.length > most ? Math.floor(Math.random() * all.length) : 0;
-    return [...all.slice(first), ...all.slice(0, first)]
-      .slice(0, most)
-      .map((record) => tellRecord(record, nowMs));
+    return pickTold(all, most).map((record) => tellRecord(record, nowMs));
   }
 
   /** What is believed of queries at this moment. */
@@ -307,8 +325,8 @@
   }
 }
 
-function isTold({ standing, lostLeafs }: CrashRecord): boolean {
-  return standing !== "suspected" || lostLeafs >= LEAST_TOLD_LOSSES;
+function isTold({ standing, hasFailed, lostLeafs }: CrashRecord): boolean {
+  return standing !== "suspected" || hasFailed || lostLeafs >= LEAST_TOLD_LOSSES;
 }
 
 function isBarred({ standing, changedAtMs }: CrashRecord, nowMs: number): boolean {
@@ -322,3 +340,17 @@
   }
   return record.standing !== before.standing || record.lostTrials !== before.lostTrials;
 }
+
+/** Share of the records told that are the latest changes. */
+const LATEST_SHARE = 0.75;
+
+function pickTold(all: ReadonlyArray<CrashRecord>, most: number): ReadonlyArray<CrashRecord> {
+  if (all.length <= most) {
+    return all;
+  }
+  const latest = Math.ceil(most * LATEST_SHARE);
+  const others = all.slice(0, -latest);
+  const first = Math.floor(Math.random() * others.length);
+  const byChance = [...others.slice(first), ...others.slice(0, first)].slice(0, most - latest);
+  return [...all.slice(-latest), ...byChance];
+}
--- a/quarantine/quarantine_test.ts
+++ b/quarantine/quarantine_test.ts
@@ -79,6 +79,7 @@
   const trying = setUp();
   const other = setUp({ isTrialBox: false });
   for (const { clock, quarantine } of [trying, other]) {
+    quarantine.noteLost(LOST);
     quarantine.noteLost(LOST);
     quarantine.noteLost(LOST);
     t.equal(quarantine.calling(QUERY), "alone", "at first each box may try");
@@ -89,6 +90,19 @@
   t.equal(other.quarantine.retryAfterMs(QUERY), 1_000);
 });
 
+t.test(
+  "a query that lost one or two leafs is tried by any box that is asked, at any time",
+  async (t) => {
+    const { clock, quarantine } = setUp({ isTrialBox: false });
+    quarantine.noteLost(LOST);
+    quarantine.noteFailed(QUERY);
+    clock.nowMs += 60_000;
+    t.equal(quarantine.calling(QUERY), "alone");
+    quarantine.noteAnswered(QUERY);
+    t.equal(quarantine.calling(QUERY), "freely");
+  },
+);
+
 t.test("a quarantined query is tried again after ten minutes, by one box, once", async (t) => {
   const { clock, quarantine } = setUp();
   condemn(quarantine);
@@ -128,6 +142,17 @@
   t.same(quarantine.records(), []);
 });
 
+t.test("a single loss is told once the request has ended without an answer", async (t) => {
+  const { changes, quarantine } = setUp();
+  quarantine.noteFailed(QUERY);
+  t.same(changes, [], "no leaf was lost under it");
+  quarantine.noteLost(LOST);
+  quarantine.noteFailed(QUERY);
+  quarantine.noteFailed(QUERY);
+  t.equal(changes.filter(({ isNews }) => isNews).length, 1);
+  t.match(quarantine.tell(8), [{ fingerprint: QUERY, lostLeafs: 1 }]);
+});
+
 t.test("a box that is told holds the query from then on", async (t) => {
   const one = setUp();
   const two = setUp({ isTrialBox: false });
