Folders for the other boxes and for what a box believes

box/ had 41 files: membership, who serves and datagrams are in fleet/ now, configuration and leafs from store and peers in knowledge/, the box's logs and metrics in telemetry/; 18 files are left in box/. No circle among files.

--- a/bench/standby_cost.ts
+++ b/bench/standby_cost.ts
@@ -13,7 +13,7 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { request } from "undici";
-import { decodeFleetMessage, encodeFleetMessage } from "../box/fleet_messages.js";
+import { decodeFleetMessage, encodeFleetMessage } from "../fleet/mod.js";
 import type { Member } from "../model/mod.js";
 import { standinConfiguration, startPlatformStandin } from "../platform/standin/mod.js";
 import { settingsOrExit } from "../settings/mod.js";
--- a/bin/rackvale_box.ts
+++ b/bin/rackvale_box.ts
@@ -3,9 +3,10 @@
  *
  * @module
  */
-import { Box, boxTelemetry, readPolicies } from "../box/mod.js";
+import { Box, readPolicies } from "../box/mod.js";
 import { readBoxSettings, SETTINGS_VARIABLE, watchBoxSettings } from "../platform/mod.js";
 import { settingsOrExit } from "../settings/mod.js";
+import { boxTelemetry } from "../telemetry/mod.js";
 
 const USAGE = "Usage: rackvale-box [--metrics-port PORT] [--metrics-path PATH] [--policies FILE]";
 
--- a/box/_make_budgets.ts
+++ b/box/_make_budgets.ts
@@ -5,8 +5,8 @@
  * @module
  */
 import { ExtraCallBudgets } from "../extra_calls/mod.js";
+import type { FleetView } from "../fleet/mod.js";
 import type { BoxSettings } from "../platform/mod.js";
-import type { FleetView } from "./fleet_view.js";
 
 /** What the budgets are made from. */
 export interface MakeBudgetsOptions {
--- a/box/_make_fleet_link.ts
+++ b/box/_make_fleet_link.ts
@@ -4,15 +4,13 @@
  *
  * @module
  */
+
+import { FleetLink, type FleetView, selfMember } from "../fleet/mod.js";
+import { type BoxKnowledge, PeerCatchUp } from "../knowledge/mod.js";
 import type { Member } from "../model/mod.js";
 import type { BoxSettings } from "../platform/mod.js";
 import type { Quarantine } from "../quarantine/mod.js";
-import type { BoxKnowledge } from "./box_knowledge.js";
-import type { BoxTelemetry } from "./box_telemetry.js";
-import { FleetLink } from "./fleet_link.js";
-import type { FleetView } from "./fleet_view.js";
-import { PeerCatchUp } from "./peer_catch_up.js";
-import { selfMember } from "./self_member.js";
+import type { BoxTelemetry } from "../telemetry/mod.js";
 
 /**
  * Most queries under which leafs were lost that a datagram tells of, some 40 bytes each; with the members it
--- a/box/_make_quarantine.ts
+++ b/box/_make_quarantine.ts
@@ -7,7 +7,7 @@
 import { rendezvousRank } from "../hashing/mod.js";
 import type { Member } from "../model/mod.js";
 import { type CrashRecord, Quarantine, type Standing } from "../quarantine/mod.js";
-import type { BoxTelemetry } from "./box_telemetry.js";
+import type { BoxTelemetry } from "../telemetry/mod.js";
 
 /** What the quarantine is tied to. */
 export interface MakeQuarantineOptions {
--- a/box/_make_runner.ts
+++ b/box/_make_runner.ts
@@ -5,8 +5,8 @@
  */
 import { noteLook, type QueueLooks, standingQueueMs } from "../admission/mod.js";
 import type { ExtraCallBudgets } from "../extra_calls/mod.js";
+import type { BoxTelemetry } from "../telemetry/mod.js";
 import type { RunnerOptions } from "./_runner_options.js";
-import type { BoxTelemetry } from "./box_telemetry.js";
 import { RequestRunner } from "./request_runner.js";
 
 /** What the runner is tied to. */
--- a/box/_runner_options.ts
+++ b/box/_runner_options.ts
@@ -4,11 +4,11 @@
  * @module
  */
 import type { LeafCalls } from "../calls/mod.js";
+import type { RelayPlaces } from "../fleet/mod.js";
 import type { LeafTable } from "../leafs/mod.js";
 import type { ExtraCallKind } from "../limits/mod.js";
 import type { Quarantine } from "../quarantine/mod.js";
 import type { RelayCalls } from "../relay/mod.js";
-import type { RelayPlaces } from "./relay_places.js";
 
 /** A request as it is handed to leafs. */
 export interface ForwardedRequest {
--- a/box/box_life.ts
+++ b/box/box_life.ts
@@ -11,7 +11,7 @@
   moveLifecycle,
   NEW_LIFECYCLE,
 } from "../lifecycle/mod.js";
-import type { BoxTelemetry } from "./box_telemetry.js";
+import type { BoxTelemetry } from "../telemetry/mod.js";
 
 /** Time before the end of the stop's grace at which new requests are no longer taken, in milliseconds. */
 const FINISH_MS = 1_500;
--- a/box/box_report.ts
+++ b/box/box_report.ts
@@ -4,10 +4,11 @@
  *
  * @module
  */
+
+import type { BoxKnowledge } from "../knowledge/mod.js";
 import type { Leaf, LeafCondition, LeafTable } from "../leafs/mod.js";
 import type { Member, MemberState } from "../model/mod.js";
 import { type CrashRecord, type ToldCrashes, tellRecord } from "../quarantine/mod.js";
-import type { BoxKnowledge } from "./box_knowledge.js";
 
 /** Path at which a box tells it, on its peers' port. */
 export const REPORT_PATH = "/peer/v1/report";
--- a/box/mod.ts
+++ b/box/mod.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
+
 export * from "./box_report.js";
 export * from "./box_shell.js";
-export * from "./box_telemetry.js";
 export * from "./route_policies.js";
--- a/box/request_intake.ts
+++ b/box/request_intake.ts
@@ -4,10 +4,11 @@
  *
  * @module
  */
+
+import type { BoxKnowledge } from "../knowledge/mod.js";
 import type { Reply } from "../request/mod.js";
 import { findRoute, type Route, type SplitCredits, splitService } from "../routing/mod.js";
-import type { BoxKnowledge } from "./box_knowledge.js";
-import type { BoxTelemetry, LogFields } from "./box_telemetry.js";
+import type { BoxTelemetry, LogFields } from "../telemetry/mod.js";
 import type { AnswerCall, ArrivedRequest } from "./caller_server.js";
 import type { RequestAccount, RequestRunner } from "./request_runner.js";
 import { requestTerms } from "./request_terms.js";
--- a/box/side_servers.ts
+++ b/box/side_servers.ts
@@ -4,6 +4,13 @@
  * @module
  */
 import { createServer, type RequestListener, type Server, type ServerResponse } from "node:http";
+import type { Progress } from "../fleet/mod.js";
+import {
+  decodeKnowledgeUrl,
+  encodeShared,
+  KNOWLEDGE_PATH,
+  type SharedKnowledge,
+} from "../knowledge/mod.js";
 import {
   type BoxSettings,
   decodeResolve,
@@ -13,13 +20,6 @@
 } from "../platform/mod.js";
 import { answerRelay, RELAY_PATH, type RelayServerOptions } from "../relay/mod.js";
 import { type BoxReport, LIFT_PATH, REPORT_PATH } from "./box_report.js";
-import type { Progress } from "./fleet_messages.js";
-import {
-  decodeKnowledgeUrl,
-  encodeShared,
-  KNOWLEDGE_PATH,
-  type SharedKnowledge,
-} from "./shared_knowledge.js";
 
 /** Where metrics are served. */
 export interface MetricsPlace {
--- a/box/time_jump.ts
+++ b/box/time_jump.ts
@@ -4,9 +4,8 @@
  * @module
  */
 import type { ClockJump } from "../clock/mod.js";
-import type { BoxTelemetry } from "./box_telemetry.js";
-import type { FleetLink } from "./fleet_link.js";
-import type { FleetView } from "./fleet_view.js";
+import type { FleetLink, FleetView } from "../fleet/mod.js";
+import type { BoxTelemetry } from "../telemetry/mod.js";
 import type { RequestRunner } from "./request_runner.js";
 
 /** What is told of a jump. */
--- /dev/null
+++ b/fleet/mod.ts
@@ -0,0 +1,12 @@
+/**
+ * The other boxes: who is there, who serves, who watches the store, and the datagrams by which they tell one another.
+ *
+ * @module
+ */
+export * from "./fleet_link.js";
+export * from "./fleet_messages.js";
+export * from "./fleet_view.js";
+export * from "./relay_places.js";
+export * from "./self_member.js";
+export * from "./serving_boxes.js";
+export * from "./store_watchers.js";
--- a/box/box_knowledge.ts
+++ b/knowledge/box_knowledge.ts
@@ -3,6 +3,8 @@
  *
  * @module
  */
+
+import type { Progress } from "../fleet/mod.js";
 import type { LeafTable } from "../leafs/mod.js";
 import {
   CONFIGURATION_KIND,
@@ -13,8 +15,7 @@
   type StoreObject,
 } from "../platform/mod.js";
 import { type Configuration, type RouteTable, routeTable } from "../routing/mod.js";
-import type { BoxTelemetry } from "./box_telemetry.js";
-import type { Progress } from "./fleet_messages.js";
+import type { BoxTelemetry } from "../telemetry/mod.js";
 import { LeafRegistry } from "./leaf_registry.js";
 import { RegistryWatch } from "./registry_watch.js";
 import { type SharedKnowledge, shareKnowledge } from "./shared_knowledge.js";
--- a/box/leaf_registry.ts
+++ b/knowledge/leaf_registry.ts
@@ -18,7 +18,7 @@
   type StoreList,
   type StoreObject,
 } from "../platform/mod.js";
-import type { BoxTelemetry } from "./box_telemetry.js";
+import type { BoxTelemetry } from "../telemetry/mod.js";
 import { LeafNews } from "./leaf_news.js";
 import { applyShared, type SharedKnowledge } from "./shared_knowledge.js";
 
--- a/box/peer_catch_up.ts
+++ b/knowledge/peer_catch_up.ts
@@ -4,10 +4,10 @@
  * @module
  */
 import { Client } from "undici";
+import type { Progress } from "../fleet/mod.js";
 import type { Member } from "../model/mod.js";
+import type { BoxTelemetry } from "../telemetry/mod.js";
 import type { BoxKnowledge } from "./box_knowledge.js";
-import type { BoxTelemetry } from "./box_telemetry.js";
-import type { Progress } from "./fleet_messages.js";
 import { decodeShared, knowledgeUrl } from "./shared_knowledge.js";
 
 /** Time that a peer has to hand over what it knows, in milliseconds. */
--- a/box/quarantine_archive.ts
+++ b/knowledge/quarantine_archive.ts
@@ -11,7 +11,7 @@
   type StoreClient,
 } from "../platform/mod.js";
 import { type CrashRecord, KEPT_MS, type ToldCrashes, tellRecord } from "../quarantine/mod.js";
-import type { BoxTelemetry } from "./box_telemetry.js";
+import type { BoxTelemetry } from "../telemetry/mod.js";
 
 /** Time after the start in which a box learns of the others, in milliseconds. */
 const LEARN_BOXES_MS = 1_000;
--- a/box/shared_knowledge.ts
+++ b/knowledge/shared_knowledge.ts
@@ -4,9 +4,9 @@
  * @module
  */
 import { deflateRawSync, inflateRawSync } from "node:zlib";
+import type { Progress } from "../fleet/mod.js";
 import { applyLeafChanges, applyLeafList, type Leaf, type LeafTable } from "../leafs/mod.js";
 import type { Configuration } from "../routing/mod.js";
-import type { Progress } from "./fleet_messages.js";
 import type { LeafNews } from "./leaf_news.js";
 
 /** Path at which peers hand over what they know. */
--- a/box/store_health.ts
+++ b/knowledge/store_health.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { BoxTelemetry } from "./box_telemetry.js";
+import type { BoxTelemetry } from "../telemetry/mod.js";
 import type { FailedCall, RegistryListener } from "./registry_watch.js";
 
 /**
--- a/box/store_health_test.ts
+++ b/knowledge/store_health_test.ts
@@ -1,5 +1,5 @@
 import t from "tap";
-import type { LogFields } from "./box_telemetry.js";
+import type { LogFields } from "../telemetry/mod.js";
 import { StoreHealth } from "./store_health.js";
 
 t.test("failed calls are told with what they took and how old the last answer is", async (t) => {
--- a/telemetry/mod.ts
+++ b/telemetry/mod.ts
@@ -3,4 +3,5 @@
  *
  * @module
  */
+export * from "./box_telemetry.js";
 export * from "./run_telemetry.js";
