Have a suspect tried by a box where requests come in

Cause: the box was picked among all that live, of which nine in ten stand by in a large fleet. Change: it is picked among those that serve some region. Where all serve nothing changes.

--- a/box/_make_quarantine.ts
+++ b/box/_make_quarantine.ts
@@ -13,8 +13,8 @@
 export interface MakeQuarantineOptions {
   readonly box: string;
   readonly nowMs: () => number;
-  /** Boxes that can be given work. */
-  readonly alive: () => ReadonlyArray<Member>;
+  /** Boxes that callers' requests come in at: one that stands by would never try a query, nor clear it. */
+  readonly serving: () => ReadonlyArray<Member>;
   readonly calls: () => Pick<LeafCalls, "holdWaiting">;
   /** Tells other boxes at once. */
   readonly tell: () => void;
@@ -36,12 +36,12 @@
  * @returns The quarantine.
  */
 export function makeQuarantine(options: MakeQuarantineOptions): Quarantine {
-  const { alive, box, calls, keep, nowMs, telemetry } = options;
+  const { box, calls, keep, nowMs, serving, telemetry } = options;
   const tell = gathered(options.tell);
   return new Quarantine({
     nowMs,
     isTrialBox: (fingerprint) => {
-      const ids = alive().map(({ memberId }) => memberId);
+      const ids = serving().map(({ memberId }) => memberId);
       return rendezvousRank(fingerprint, ids)[0] === box;
     },
     onChange: ({ record, before, source, isNews }) => {
--- a/box/box_shell.ts
+++ b/box/box_shell.ts
@@ -127,7 +127,7 @@
     this.#quarantine = makeQuarantine({
       box: settings.box,
       nowMs,
-      alive: () => this.#fleet.alive(),
+      serving: () => this.#view.servingEverywhere(),
       calls: () => this.#calls,
       tell: () => this.#fleet.tell(this.#view.hearers()),
       keep: (record, before) => void this.#archive.note(record, before),
--- a/fleet/fleet_view.ts
+++ b/fleet/fleet_view.ts
@@ -143,10 +143,16 @@
     return isServing ? ofAll + SERVING_PART / countServing : ofAll;
   }
 
+  /** Boxes that serve some region: callers' requests come in at these. */
+  servingEverywhere(): ReadonlyArray<Member> {
+    const { regions } = this.#options.settings();
+    return [...new Set(regions.values())].flatMap((region) => this.servingBoxes(region));
+  }
+
   /** How many boxes serve in all regions, and whether this one does. */
   #serves(): { readonly countServing: number; readonly isServing: boolean } {
-    const { box, regions } = this.#options.settings();
-    const serving = [...new Set(regions.values())].flatMap((region) => this.servingBoxes(region));
+    const { box } = this.#options.settings();
+    const serving = this.servingEverywhere();
     const isServing = serving.some(({ memberId }) => memberId === box);
     return { countServing: serving.length, isServing };
   }
