--- a/fleet/fleet_messages_fuzz_test.ts
+++ b/fleet/fleet_messages_fuzz_test.ts
@@ -1,6 +1,7 @@
 import { deflateRawSync } from "node:zlib";
 import fc from "fast-check";
 import t from "tap";
+import { spoiltValue } from "../standins/spoilt_value.js";
 import { decodeFleetMessage, type FleetMessage } from "./fleet_messages.js";
 
 const MEMBER = [
@@ -18,23 +19,7 @@
 const CRASHES = ["f_1", "suspected", 2, 0, 100, 50];
 const MESSAGE = ["ask", 7, 12, 345, [MEMBER], [CRASHES]];
 
-/** A message in which one value, at any depth, is another one. */
-const SPOILT = fc
-  .tuple(fc.integer({ min: 0, max: 40 }), fc.jsonValue({ maxDepth: 2 }))
-  .map(([place, value]) => spoil(MESSAGE, { left: place, value }));
-
-interface Spoiler {
-  left: number;
-  readonly value: unknown;
-}
-
-function spoil(data: unknown, spoiler: Spoiler): unknown {
-  spoiler.left -= 1;
-  if (spoiler.left === -1) {
-    return spoiler.value;
-  }
-  return Array.isArray(data) ? data.map((each) => spoil(each, spoiler)) : data;
-}
+const SPOILT = spoiltValue(MESSAGE, 40);
 
 function isWhole({ crashes, members, number, progress }: FleetMessage): boolean {
   const numbers = [number, progress.configurationVersion, progress.leafsRevision];
--- a/relay/relay_fuzz_test.ts
+++ b/relay/relay_fuzz_test.ts
@@ -1,6 +1,7 @@
 import { deflateRawSync } from "node:zlib";
 import fc from "fast-check";
 import t from "tap";
+import { spoiltValue } from "../standins/spoilt_value.js";
 import { RelayedReader } from "./relay_frames.js";
 import { decodeOrder, encodeOrder, type RelayOrder } from "./relay_order.js";
 
@@ -8,22 +9,7 @@
 const MERGED = ["merged", ...REQUEST, ["s1", "s2"], 40];
 const SEPARATE = ["separate", ...REQUEST, ["s1", "s2"], ["l1", "l2"], "AAAA"];
 
-/** Replaces the value at a place, counted through all depths. */
-function spoil(data: unknown, spoiler: { left: number; readonly value: unknown }): unknown {
-  spoiler.left -= 1;
-  if (spoiler.left === -1) {
-    return spoiler.value;
-  }
-  return Array.isArray(data) ? data.map((each) => spoil(each, spoiler)) : data;
-}
-
-const SPOILT = fc
-  .tuple(
-    fc.constantFrom(MERGED, SEPARATE),
-    fc.integer({ min: 0, max: 16 }),
-    fc.jsonValue({ maxDepth: 2 }),
-  )
-  .map(([order, left, value]) => spoil(order, { left, value }));
+const SPOILT = fc.oneof(spoiltValue(MERGED, 16), spoiltValue(SEPARATE, 16));
 
 function areTexts(values: ReadonlyArray<unknown>): boolean {
   return values.every((value) => typeof value === "string");
