--- a/quarantine/quarantine.ts
+++ b/quarantine/quarantine.ts
@@ -8,6 +8,7 @@
  *
  * @module
  */
+import { isNews, isTold, LEAST_TOLD_LOSSES, pickTold } from "./_told_records.js";
 import {
   type CrashRecord,
   clearRecord,
@@ -55,12 +56,6 @@
  */
 const MOST_RECORDS = 512;
 
-/**
- * Losses from which on other boxes are told whatever became of the request: a single one is most often a leaf
- * that ended by itself, and another leaf answers in its place.
- */
-const LEAST_TOLD_LOSSES = 2;
-
 /** When the caller of a suspect may come back, in milliseconds: a trial takes about a tenth of that. */
 const SUSPECT_RETRY_MS = 1_000;
 
@@ -325,32 +320,6 @@
   }
 }
 
-function isTold({ standing, hasFailed, lostLeafs }: CrashRecord): boolean {
-  return standing !== "suspected" || hasFailed || lostLeafs >= LEAST_TOLD_LOSSES;
-}
-
 function isBarred({ standing, changedAtMs }: CrashRecord, nowMs: number): boolean {
   return standing === "quarantined" && nowMs - changedAtMs < QUARANTINE_MS;
 }
-
-/** Not each further loss: a query over many shards loses dozens of leafs within a tenth of a second. */
-function isNews(record: CrashRecord, before: CrashRecord | undefined): boolean {
-  if (before === undefined || !isTold(before)) {
-    return isTold(record);
-  }
-  return record.standing !== before.standing || record.lostTrials !== before.lostTrials;
-}
-
-/** Share of the records told that are the latest changes. */
-const LATEST_SHARE = 0.75;
-
-function pickTold(all: ReadonlyArray<CrashRecord>, most: number): ReadonlyArray<CrashRecord> {
-  if (all.length <= most) {
-    return all;
-  }
-  const latest = Math.ceil(most * LATEST_SHARE);
-  const others = all.slice(0, -latest);
-  const first = Math.floor(Math.random() * others.length);
-  const byChance = [...others.slice(first), ...others.slice(0, first)].slice(0, most - latest);
-  return [...all.slice(-latest), ...byChance];
-}
