Ask one place whether a call may go to a leaf: homes, evacuations, cold leafs, quarantine

Cause: a route's allowedRegions and the store's evacuations/ZONE were not decoded, and nothing bounded what cold leafs get from all boxes together. Change: leaf_access/ answers, with a typed reason that stands in the request's log line, whether a call may go to a leaf; every way asks it when a leaf is chosen and right before bytes are sent. Homes are those of the configuration in force at that moment. Evacuations are believed from the store's watchers and told in datagrams once there was one. The directory names boxes at home where none near can be given work.

--- a/box/_make_fleet_link.ts
+++ b/box/_make_fleet_link.ts
@@ -63,6 +63,12 @@
         fleet.tell(view.others());
       }
     },
+    evacuations: () => knowledge.evacuationNews,
+    onEvacuations: (news, sender) => {
+      if (knowledge.hearEvacuations(news) && sender !== undefined && !isNear(sender)) {
+        fleet.tell(view.others());
+      }
+    },
     onMember: ({ box: member, state, incarnation }) => {
       onMember();
       telemetry.event("info", "fleet: box changed", { member, state, incarnation });
--- a/box/_run_world.ts
+++ b/box/_run_world.ts
@@ -3,21 +3,28 @@
  *
  * @module
  */
+import { type Barrier, describeBarrier } from "../leaf_access/mod.js";
 import { type ChoiceView, chooseLeaf, type Leaf, type Placement } from "../leafs/mod.js";
 import type { ExtraCallKind } from "../limits/mod.js";
 import type { Member } from "../model/mod.js";
 import type { Calling } from "../quarantine/mod.js";
 import type { BoxChoice, LeafChoice, RequestWorld } from "../request/mod.js";
+import type { RouteKey } from "../routing/mod.js";
 import type { RunnerOptions } from "./_runner_options.js";
 
 /** The request that decides. */
 export interface RunWorldOptions {
   /** The same for all requests that ask for the same thing. */
   readonly fingerprint: string;
+  /** Host and path by which its route is found. */
+  readonly routeKey: RouteKey;
   /** How the request's policy places calls. */
   readonly placement: Placement;
 }
 
+/** Shards kept from their leafs that a request's log line names at most. */
+const MOST_BARRED = 20;
+
 /** The box as one request sees it. */
 export class RunWorld implements RequestWorld {
   /** Moment of the event that is being taken. */
@@ -30,6 +37,10 @@
   readonly #condition: ChoiceView["condition"];
   readonly #distance: ChoiceView["distance"];
   readonly #toldQueueMs: (leaf: Leaf) => number;
+  readonly #mayAsk: (leaf: Leaf) => boolean;
+  readonly #isCold: (leafId: string) => boolean;
+  /** What kept leafs from being asked since the last choice began. */
+  #barriers: ReadonlyArray<Barrier> = [];
   /** Waits at the leafs of each place as told when this request first asked. */
   readonly #queuesMs = new Map<string, number>();
 
@@ -37,15 +48,26 @@
    * @param box - What the runner has of its box.
    * @param options - The request.
    */
-  constructor(box: RunnerOptions, { fingerprint, placement }: RunWorldOptions) {
+  constructor(box: RunnerOptions, { fingerprint, placement, routeKey }: RunWorldOptions) {
     this.#box = box;
     this.#fingerprint = fingerprint;
     this.#placement = placement;
     this.#condition = (leafId) => box.calls.condition(leafId);
     this.#distance = (leaf) => box.places.distance(leaf);
     this.#toldQueueMs = (leaf) => this.#queueAt(box.places.placeOf(leaf));
+    this.#isCold = (leafId) => box.access.isCold(leafId);
+    this.#mayAsk = (leaf) => {
+      const barrier = box.access.barrierTo(leaf, routeKey);
+      if (barrier !== undefined) {
+        this.#barriers = [...this.#barriers, barrier];
+      }
+      return barrier === undefined;
+    };
   }
 
+  /** Shards that no leaf could be asked for, by service, and what kept their leafs from it. */
+  readonly barred = new Map<string, string>();
+
   /**
    * Finds a box that was chosen before.
    *
@@ -58,16 +80,20 @@
 
   chooseLeaf(service: string, excluded: ReadonlySet<string>): LeafChoice | undefined {
     const { leafs, places } = this.#box;
+    this.#barriers = [];
     const chosen = chooseLeaf(leafs().byService.get(service) ?? [], {
       nowMs: this.nowMs,
       waitedMs: this.waitedMs,
       condition: this.#condition,
       distance: this.#distance,
       excluded,
+      mayAsk: this.#mayAsk,
+      isCold: this.#isCold,
       toldQueueMs: this.#toldQueueMs,
       placement: this.#placement,
     });
     if (chosen === undefined) {
+      this.#noteBarred(service);
       return undefined;
     }
     const { leaf, lossShare, queueMs, usualMs } = chosen;
@@ -86,6 +112,13 @@
     return { box: member.memberId, expectedMs: usualMs };
   }
 
+  #noteBarred(service: string): void {
+    if (this.#barriers.length > 0 && this.barred.size < MOST_BARRED) {
+      const reasons = new Set(this.#barriers.map(describeBarrier));
+      this.barred.set(service, [...reasons].join("; "));
+    }
+  }
+
   #queueAt(place: string | undefined): number {
     if (place === undefined) {
       return 0;
--- a/box/box_shell.ts
+++ b/box/box_shell.ts
@@ -10,15 +10,18 @@
 import { type FleetLink, FleetView, RelayPlaces } from "../fleet/mod.js";
 import { BoxKnowledge, QuarantineArchive, watchWaitMs } from "../knowledge/mod.js";
 import { waitedMs } from "../latency/mod.js";
+import type { ColdLeafs } from "../leaf_access/mod.js";
 import type { Member } from "../model/mod.js";
 import { type BoxSettings, StoreClient } from "../platform/mod.js";
 import type { Quarantine } from "../quarantine/mod.js";
 import { RelayCalls } from "../relay/mod.js";
+import { homesOfHost } from "../routing/mod.js";
 import type { BoxTelemetry } from "../telemetry/mod.js";
 import { listen } from "./_listen.js";
 import { makeBudgets } from "./_make_budgets.js";
 import { makeFleetLink } from "./_make_fleet_link.js";
 import { makeIntake } from "./_make_intake.js";
+import { makeLeafAccess } from "./_make_leaf_access.js";
 import { makeQuarantine } from "./_make_quarantine.js";
 import { makeRunner } from "./_make_runner.js";
 import { AdaptiveTimer } from "./adaptive_timer.js";
@@ -65,6 +68,7 @@
   readonly #store: StoreClient;
   readonly #knowledge: BoxKnowledge;
   readonly #calls: LeafCalls;
+  readonly #cold: ColdLeafs;
   readonly #relays = new RelayCalls({
     nowMs,
     waitedMs,
@@ -114,8 +118,11 @@
       onConfiguration: () => this.#configured(),
       onLeafs: () => {
         this.#calls.setKnown(this.#knowledge.leafs.byId);
+        this.#cold.setKnown(this.#knowledge.leafs.byId);
         this.#learned();
       },
+      hasEvacuations: settings.hasEvacuations,
+      onEvacuations: (usedAgain) => this.#evacuated(usedAgain),
     });
     this.#archive = new QuarantineArchive({
       store: this.#store,
@@ -133,8 +140,17 @@
       keep: (record, before) => void this.#archive.note(record, before),
       telemetry,
     });
+    const { access, cold } = makeLeafAccess({
+      settings,
+      nowMs,
+      knowledge: () => this.#knowledge,
+      view: this.#view,
+      quarantine: this.#quarantine,
+    });
+    this.#cold = cold;
     this.#calls = new LeafCalls({
       quarantine: this.#quarantine,
+      access,
       nowMs,
       waitedMs,
       connectionsTo: (service) => {
@@ -159,6 +175,7 @@
       relays: this.#relays,
       budgets: this.#budgets,
       quarantine: this.#quarantine,
+      access,
       telemetry,
     });
     const isNear = ({ dataCentre }: Member): boolean => places.isNear(dataCentre);
@@ -197,7 +214,10 @@
       ...sideServers({
         settings,
         isReady: () => this.#life.phase === "ready",
-        advise: (region) => this.#view.advise(region),
+        advise: ({ host, region }) => {
+          const { routes } = this.#knowledge;
+          return this.#view.advise(region, routes === undefined ? [] : homesOfHost(routes, host));
+        },
         keepMs: () => Math.min(KEEP_MS, this.#settings.mostKeepMs),
         report: () => this.#report(),
         lift: (fingerprint) => this.#quarantine.lift(fingerprint),
@@ -208,6 +228,7 @@
           calls: this.#calls,
           leafs: () => this.#knowledge.leafs,
           distance: (leaf) => places.distance(leaf),
+          access,
           onParts: (count) => telemetry.relayedParts.inc(count),
         },
         metrics,
@@ -311,6 +332,17 @@
     }
   }
 
+  /** Tells the boxes that hear from this one of what is emptied; what was empty is cold by now. */
+  #evacuated(usedAgain: ReadonlyArray<string>): void {
+    const rested = [...this.#knowledge.leafs.byId.values()].filter(({ dataCentre }) => {
+      return usedAgain.includes(dataCentre);
+    });
+    this.#cold.noteRested(rested);
+    if (this.#knowledge.isWatcher) {
+      this.#fleet.tell(this.#view.hearers());
+    }
+  }
+
   /** Whether something may be overdue before a box that stands by would look. */
   #isBusy(): boolean {
     const isWaiting = this.#calls.openCount + this.#relays.openCount > 0;
--- a/box/caller_server.ts
+++ b/box/caller_server.ts
@@ -102,6 +102,7 @@
     path,
     headers: passedHeaders(request.rawHeaders),
     body,
+    routeKey: { host, path },
     fingerprint: requestFingerprint({ method, caller: host, path, body }),
   };
   const arrived: ArrivedRequest = {
--- a/box/request_intake.ts
+++ b/box/request_intake.ts
@@ -149,7 +149,7 @@
 
   /** What decided a request, with the age of what the box knew. */
   #accountFields(
-    { fingerprint, lostLeafs, notes, state }: RequestAccount,
+    { barred, fingerprint, lostLeafs, notes, state }: RequestAccount,
     version: number,
   ): LogFields {
     const { terms, shards, partsIn, partsLost, nextAttemptId } = state;
@@ -168,6 +168,7 @@
       attempts: nextAttemptId - 1,
       fingerprint,
       lostLeafs,
+      ...(barred.size === 0 ? {} : { barred: Object.fromEntries(barred) }),
       notes,
       open: shards.flatMap(({ service, open, part, relayed }) => {
         const isIn = part !== undefined || relayed;
--- a/box/request_runner.ts
+++ b/box/request_runner.ts
@@ -50,6 +50,8 @@
   readonly notes: ReadonlyArray<AttemptNote>;
   /** The same for all requests that ask for the same thing. */
   readonly fingerprint: string;
+  /** Shards that no leaf could be asked for, by service, and what kept their leafs from it. */
+  readonly barred: ReadonlyMap<string, string>;
   /** Leafs whose connection ended under it before an answer. */
   readonly lostLeafs: number;
 }
@@ -157,7 +159,7 @@
     this.#state = newRequest(options.terms, options.services);
     const { nowMs, calls, quarantine, relays } = box;
     const { terms, forwarded, placement } = options;
-    this.#world = new RunWorld(box, { fingerprint: forwarded.fingerprint, placement });
+    this.#world = new RunWorld(box, { ...forwarded, placement });
     this.#orders = new RunOrders({
       ...{ nowMs, calls, quarantine, relays, terms, forwarded },
       chosenBox: (name) => this.#world.chosenBox(name),
@@ -223,7 +225,9 @@
 
   #account(): RequestAccount {
     const { fingerprint } = this.#options.forwarded;
-    return { state: this.#state, notes: this.#notes, fingerprint, lostLeafs: this.#lostLeafs };
+    const { barred } = this.#world;
+    const counted = { fingerprint, lostLeafs: this.#lostLeafs };
+    return { state: this.#state, notes: this.#notes, barred, ...counted };
   }
 
   #note(asked: string, what: string): void {
--- a/box/route_policies_test.ts
+++ b/box/route_policies_test.ts
@@ -14,6 +14,7 @@
   aimMs: 100,
   priorityRank: 3,
   maxAttempts: 2,
+  homes: [],
   target: { kind: "gather", shards: ["a"], topRecords: 1, leastShare: 0.5 },
 };
 
--- a/box/side_servers.ts
+++ b/box/side_servers.ts
@@ -16,6 +16,7 @@
   decodeResolve,
   encodeAdvice,
   READY_PATH,
+  type ResolveQuestion,
   type SocketAddress,
 } from "../platform/mod.js";
 import { answerRelay, RELAY_PATH, type RelayServerOptions } from "../relay/mod.js";
@@ -38,8 +39,8 @@
   readonly settings: Pick<BoxSettings, "readiness" | "directory" | "peers">;
   /** Tells whether this box can be given work. */
   readonly isReady: () => boolean;
-  /** Tells which addresses callers of a region are to use. */
-  readonly advise: (region: string) => ReadonlyArray<SocketAddress>;
+  /** Tells which addresses a caller is to use. */
+  readonly advise: (question: ResolveQuestion) => ReadonlyArray<SocketAddress>;
   /** Tells how long callers may keep that, in milliseconds. */
   readonly keepMs: () => number;
   /** Gives what a peer that is behind may take over. */
@@ -89,7 +90,7 @@
       return;
     }
     response.setHeader("Content-Type", "application/json");
-    writeText(response, 200, encodeAdvice(advise(question.region), { keepMs: keepMs() }));
+    writeText(response, 200, encodeAdvice(advise(question), { keepMs: keepMs() }));
   };
 }
 
--- a/calls/_answer_reader.ts
+++ b/calls/_answer_reader.ts
@@ -3,7 +3,9 @@
  *
  * @module
  */
+
 import type { Dispatcher } from "undici";
+import { type Barrier, describeBarrier, type LeafAccess } from "../leaf_access/mod.js";
 import {
   decodeLeafNews,
   decodeLeafResponse,
@@ -26,10 +28,27 @@
   readonly toldLoad: number | undefined;
 }
 
+/** What reading answers needs of the box. */
+export interface AnswerReaderOptions {
+  readonly nowMs: () => number;
+  /** Asked again when a connection is free, as the call may have waited for it. */
+  readonly access: Pick<LeafAccess, "barrierBefore" | "noteSent">;
+}
+
+/**
+ * Makes the outcome of a call that may not go to its leaf.
+ *
+ * @param barrier - Why it may not.
+ * @returns The outcome; nothing was sent.
+ */
+export function barredOutcome(barrier: Barrier): AttemptOutcome {
+  return { kind: "failed", sent: false, reason: describeBarrier(barrier), barrier };
+}
+
 /** Reads one answer whole; anything else ends the call and its connection. */
 export class AnswerReader implements WaitingCall {
   readonly #call: LeafCall;
-  readonly #nowMs: () => number;
+  readonly #options: AnswerReaderOptions;
   readonly #onEnd: (ended: EndedCall) => void;
   #controller: Dispatcher.DispatchController | undefined;
   #sent = false;
@@ -39,9 +58,9 @@
   readonly #chunks: Array<Buffer> = [];
   #sizeBytes = 0;
 
-  constructor(call: LeafCall, nowMs: () => number, onEnd: (ended: EndedCall) => void) {
+  constructor(call: LeafCall, options: AnswerReaderOptions, onEnd: (ended: EndedCall) => void) {
     this.#call = call;
-    this.#nowMs = nowMs;
+    this.#options = options;
     this.#onEnd = onEnd;
   }
 
@@ -53,9 +72,19 @@
     return this.#call.repeatable;
   }
 
+  admit(): boolean {
+    const barrier = this.#options.access.barrierBefore(this.#call);
+    if (barrier !== undefined) {
+      this.#end(barredOutcome(barrier));
+      return false;
+    }
+    this.#options.access.noteSent(this.#call.leaf);
+    return true;
+  }
+
   options(): Dispatcher.DispatchOptions {
     const { leaf, method, path, headers, body, deadlineAtMs } = this.#call;
-    const leftMs = Math.max(1, Math.floor(deadlineAtMs - this.#nowMs()));
+    const leftMs = Math.max(1, Math.floor(deadlineAtMs - this.#options.nowMs()));
     return {
       method: method as Dispatcher.HttpMethod,
       path,
--- a/calls/_leaf_call_harness.ts
+++ b/calls/_leaf_call_harness.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Server } from "node:http";
+import { LeafAccess } from "../leaf_access/mod.js";
 import type { Leaf } from "../leafs/mod.js";
 import { LEAF_HEADERS } from "../platform/mod.js";
 import { Quarantine } from "../quarantine/mod.js";
@@ -38,8 +39,20 @@
   return new Quarantine({ nowMs, isTrialBox: () => true, onChange: () => undefined });
 }
 
+/** Access to all leafs, but for queries that are quarantined. */
+export function openAccess(quarantine = makeQuarantine()): LeafAccess {
+  return new LeafAccess({
+    routes: () => undefined,
+    regionOf: (dataCentre) => dataCentre,
+    evacuated: () => new Set(),
+    cold: { isCold: () => false, mayCall: () => true, noteSent: () => undefined },
+    quarantine,
+  });
+}
+
 export function makeCalls(connections = 2, quarantine = makeQuarantine()): LeafCalls {
   return new LeafCalls({
+    access: openAccess(quarantine),
     nowMs: () => performance.now(),
     waitedMs: () => performance.now(),
     connectionsTo: () => connections,
@@ -76,6 +89,7 @@
     path: "/x",
     headers: ["Host", "h", LEAF_HEADERS.requestId, requestId],
     body: undefined,
+    routeKey: { host: "h", path: "/x" },
     fingerprint: requestId,
     isTrial: false,
     mostBytes: mostAnswerBytes(1),
--- a/calls/_releasing_handler.ts
+++ b/calls/_releasing_handler.ts
@@ -12,6 +12,8 @@
   readonly isEnded: boolean;
   /** Whether it may be sent again if its connection turns out to be gone. */
   readonly isRepeatable: boolean;
+  /** Tells right before it is sent whether it may go to its leaf; one that may not has ended. */
+  admit(): boolean;
   /** Makes the request, with the time that is left at this moment. */
   options(): Dispatcher.DispatchOptions;
   /** Told when no connection could be opened for it: nothing was sent. */
--- a/calls/leaf_call.ts
+++ b/calls/leaf_call.ts
@@ -3,7 +3,9 @@
  *
  * @module
  */
+
 import type { Leaf } from "../leafs/mod.js";
+import type { RouteKey } from "../routing/mod.js";
 
 /** A call to be made. */
 export interface LeafCall {
@@ -14,6 +16,8 @@
   /** The caller's headers that are passed on, names and values by turns. */
   readonly headers: ReadonlyArray<string>;
   readonly body: Buffer | undefined;
+  /** Host and path of the request; the same object for all its calls. */
+  readonly routeKey: RouteKey;
   /** The same for all requests that ask for the same thing. */
   readonly fingerprint: string;
   /** Whether it is the only call of a query under which leafs were lost. */
--- a/calls/leaf_calls.ts
+++ b/calls/leaf_calls.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { LeafAccess } from "../leaf_access/mod.js";
 import {
   type CallEnd,
   isSameIncarnation,
@@ -14,7 +15,7 @@
 } from "../leafs/mod.js";
 import type { Quarantine } from "../quarantine/mod.js";
 import type { AttemptOutcome } from "../request/mod.js";
-import { ABANDONED, AnswerReader } from "./_answer_reader.js";
+import { ABANDONED, AnswerReader, barredOutcome } from "./_answer_reader.js";
 import type { LeafCall } from "./leaf_call.js";
 import { LeafLine } from "./leaf_line.js";
 
@@ -33,8 +34,10 @@
   readonly waitedMs: () => number;
   /** Most connections of this box to a leaf of a service. */
   readonly connectionsTo: (service: string) => number;
-  /** Asked right before each call, and told how each ended: a query may end the leafs that run it. */
+  /** Told how each call ended: a query may end the leafs that run it. */
   readonly quarantine: Pick<Quarantine, "calling" | "endTrial" | "noteAnswered" | "noteLost">;
+  /** Asked right before each call whether it may go to its leaf. */
+  readonly access: Pick<LeafAccess, "barrierBefore" | "noteSent">;
   /** Told when a call is sent and none was open. */
   readonly onBusy?: () => void;
   /** Told how each call ended. */
@@ -52,9 +55,6 @@
   readonly withdraw: () => void;
 }
 
-/** A call that is not sent, as leafs were lost under its query. */
-const HELD = { kind: "failed", sent: false, reason: "held", held: true } as const;
-
 /**
  * What this box has with one incarnation of a leaf. Calls keep hold of it to their end, so that one that was
  * sent to a former incarnation shows nothing of the next.
@@ -104,8 +104,9 @@
    */
   send(call: LeafCall, onEnd: (outcome: AttemptOutcome) => void): OpenCall {
     const { fingerprint, isTrial } = call;
-    if (!isTrial && this.#options.quarantine.calling(fingerprint) !== "freely") {
-      queueMicrotask(() => onEnd(HELD));
+    const barrier = this.#options.access.barrierBefore(call);
+    if (barrier !== undefined) {
+      queueMicrotask(() => onEnd(barredOutcome(barrier)));
       return { abandon: () => undefined, withdraw: () => undefined };
     }
     const callId = this.#nextCallId;
@@ -113,7 +114,7 @@
     const waitedMs = this.#options.waitedMs();
     const incarnation = this.#incarnationOf(call.leaf.leafId);
     incarnation.condition = noteSent(incarnation.condition, { callId, waitedMs });
-    const handler = new AnswerReader(call, this.#options.nowMs, ({ outcome, toldLoad }) => {
+    const handler = new AnswerReader(call, this.#options, ({ outcome, toldLoad }) => {
       this.#open.delete(callId);
       const end: CallEnd = {
         callId,
@@ -248,7 +249,9 @@
 } = {
   answered: ({ answer }) => (answer.statusCode < 500 ? "answered" : "failed"),
   refused: ({ reason }) => reason,
-  failed: ({ reason }) => (reason === ABANDONED ? "abandoned" : "failed"),
+  failed: ({ barrier, reason }) => {
+    return reason === ABANDONED || barrier !== undefined ? "abandoned" : "failed";
+  },
 };
 
 function resultOf(outcome: AttemptOutcome): CallEnd["result"] {
--- a/calls/leaf_line.ts
+++ b/calls/leaf_line.ts
@@ -149,11 +149,8 @@
   }
 
   #serveOn(connection: LeafConnection): void {
-    if (!connection.isFree) {
-      return;
-    }
     const [call, ...others] = this.#waiting;
-    if (call === undefined) {
+    if (call === undefined || !connection.isFree) {
       return;
     }
     const isTooOld = !call.isRepeatable && connection.restedMs > MOST_RESTED_MS;
@@ -162,7 +159,11 @@
       return;
     }
     this.#waiting = others;
-    this.#sendOn(connection, call);
+    if (call.admit()) {
+      this.#sendOn(connection, call);
+    } else {
+      this.#serveOn(connection);
+    }
   }
 
   /** Whether another connection has got no answer for long, and this one was not heard since either. */
--- a/fleet/_fleet_fields.ts
+++ b/fleet/_fleet_fields.ts
@@ -37,6 +37,9 @@
   changedAgoMs: number,
 ];
 
+/** Data centres that are emptied. */
+export type EvacuationFields = readonly [position: number, dataCentres: ReadonlyArray<string>];
+
 /** A datagram. */
 export type MessageFields = readonly [
   kind: FleetMessageKind,
@@ -44,8 +47,10 @@
   configurationVersion: number,
   leafsRevision: number,
   members: ReadonlyArray<MemberFields>,
-  /** Left out where there are none. */
+  /** Left out where there are none, and no evacuations. */
   crashes?: ReadonlyArray<CrashFields>,
+  /** Left out where none ever was. */
+  evacuations?: EvacuationFields,
 ];
 
 type Check = (value: unknown) => boolean;
@@ -87,6 +92,11 @@
 
 const CRASH_CHECKS: Checks<CrashFields> = [isText, isText, isNumber, isNumber, isNumber, isNumber];
 
+const EVACUATION_CHECKS: Checks<EvacuationFields> = [
+  isNumber,
+  (value) => Array.isArray(value) && value.every(isText),
+];
+
 const MESSAGE_CHECKS: Checks<Required<MessageFields>> = [
   (value) => KINDS.has(value),
   isNumber,
@@ -94,6 +104,7 @@
   isNumber,
   (value) => isListOf(value, MEMBER_CHECKS),
   (value) => value === undefined || isListOf(value, CRASH_CHECKS),
+  (value) => value === undefined || fits(value, EVACUATION_CHECKS),
 ];
 
 /**
--- a/fleet/fleet_link.ts
+++ b/fleet/fleet_link.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+
 import { createSocket, type Socket } from "node:dgram";
 import {
   ageMembers,
@@ -14,11 +15,12 @@
   suspectMember,
   takeRiders,
 } from "../membership/mod.js";
-import type { Member, MemberState } from "../model/mod.js";
+import type { EvacuationNews, Member, MemberState } from "../model/mod.js";
 import type { ToldCrashes } from "../quarantine/mod.js";
 import {
   decodeFleetMessage,
   encodeFleetMessage,
+  type FleetMessage,
   type FleetMessageKind,
   type Progress,
 } from "./fleet_messages.js";
@@ -50,6 +52,10 @@
   readonly crashes: () => ReadonlyArray<ToldCrashes>;
   /** Told of such queries by another box. */
   readonly onCrashes: (told: ReadonlyArray<ToldCrashes>, sender: Member | undefined) => void;
+  /** Gives the data centres that are emptied; nothing where none ever was. */
+  readonly evacuations: () => EvacuationNews | undefined;
+  /** Told of these by another box. */
+  readonly onEvacuations: (news: EvacuationNews, sender: Member | undefined) => void;
   /** Told how far another box is. */
   readonly onProgress: (member: Member, progress: Progress) => void;
   /** Told when a member's state changes, as this box believes it. */
@@ -117,13 +123,12 @@
    * @param members - The boxes.
    */
   tell(members: ReadonlyArray<Member>): void {
-    const { crashes, port, progress } = this.#options;
+    const { port } = this.#options;
     const { self } = this.#membership;
-    const known = { progress: progress(), crashes: crashes() };
     if (this.#isStopped) {
       return;
     }
-    const data = encodeFleetMessage({ kind: "news", number: 0, members: [self], ...known });
+    const data = encodeFleetMessage({ kind: "news", number: 0, members: [self], ...this.#known() });
     for (const { address } of members) {
       this.#socket.send(data, port, address);
     }
@@ -205,11 +210,16 @@
     const { membership, riders } = takeRiders(this.#membership, pick);
     this.#membership = membership;
     const members = [membership.self, ...riders];
-    const { crashes, progress } = this.#options;
-    const message = { kind, number, members, progress: progress(), crashes: crashes() };
+    const message = { kind, number, members, ...this.#known() };
     this.#socket.send(encodeFleetMessage(message), this.#options.port, address);
   }
 
+  /** What each datagram tells besides members. */
+  #known(): Pick<FleetMessage, "crashes" | "evacuations" | "progress"> {
+    const { crashes, evacuations, progress } = this.#options;
+    return { crashes: crashes(), evacuations: evacuations(), progress: progress() };
+  }
+
   #receive(data: Buffer, address: string): void {
     const message = decodeFleetMessage(data);
     if (message === undefined) {
@@ -224,6 +234,9 @@
     if (message.crashes.length > 0) {
       this.#options.onCrashes(message.crashes, sender);
     }
+    if (message.evacuations !== undefined) {
+      this.#options.onEvacuations(message.evacuations, sender);
+    }
     if (message.kind === "ask") {
       this.#send("answer", message.number, address);
     } else if (message.number === this.#asked?.number) {
--- a/fleet/fleet_messages.ts
+++ b/fleet/fleet_messages.ts
@@ -6,7 +6,7 @@
  * @module
  */
 import { deflateRawSync, inflateRawSync } from "node:zlib";
-import type { Member } from "../model/mod.js";
+import type { EvacuationNews, Member } from "../model/mod.js";
 import type { Standing, ToldCrashes } from "../quarantine/mod.js";
 import {
   type CrashFields,
@@ -35,6 +35,8 @@
   readonly members: ReadonlyArray<Member>;
   /** Queries under which leafs were lost. */
   readonly crashes: ReadonlyArray<ToldCrashes>;
+  /** Data centres that are emptied; nothing where none ever was. */
+  readonly evacuations?: EvacuationNews | undefined;
 }
 
 /** Largest datagram taken, inflated, in bytes. */
@@ -58,11 +60,13 @@
  * @returns Its bytes.
  */
 export function encodeFleetMessage(message: FleetMessage): Buffer {
-  const { kind, number, progress, members, crashes } = message;
+  const { kind, number, progress, members, crashes, evacuations } = message;
   const { configurationVersion, leafsRevision } = progress;
   const listed = members.map(toFields);
-  const told = crashes.length === 0 ? [] : [crashes.map(toCrashFields)];
-  const fields = [kind, number, configurationVersion, leafsRevision, listed, ...told];
+  const emptied = evacuations && [evacuations.position, evacuations.dataCentres];
+  const told = crashes.length === 0 && emptied === undefined ? [] : [crashes.map(toCrashFields)];
+  const rest = emptied === undefined ? told : [...told, emptied];
+  const fields = [kind, number, configurationVersion, leafsRevision, listed, ...rest];
   return deflateRawSync(JSON.stringify(fields), DEFLATE);
 }
 
@@ -79,10 +83,11 @@
     if (!isMessageFields(fields)) {
       return undefined;
     }
-    const [kind, number, configurationVersion, leafsRevision, listed, told = []] = fields;
+    const [kind, number, configurationVersion, leafsRevision, listed, told = [], emptied] = fields;
     const progress = { configurationVersion, leafsRevision };
     const crashes = told.flatMap(fromCrashFields);
-    return { kind, number, progress, members: listed.map(fromFields), crashes };
+    const evacuations = emptied && { position: emptied[0], dataCentres: emptied[1] };
+    return { kind, number, progress, members: listed.map(fromFields), crashes, evacuations };
   } catch {
     return undefined;
   }
--- a/fleet/fleet_view.ts
+++ b/fleet/fleet_view.ts
@@ -76,11 +76,13 @@
    * Lists the addresses that callers are told to use.
    *
    * @param region - Where the caller stands.
-   * @returns Addresses of that region's boxes; of all, where none there can be given work.
+   * @param homes - Regions in which the routes of the host that the caller asked for are served; any by default.
+   * @returns Addresses of that region's boxes; where none there can be given work, of those at home, else of all.
    */
-  advise(region: string): ReadonlyArray<SocketAddress> {
+  advise(region: string, homes: ReadonlyArray<string> = []): ReadonlyArray<SocketAddress> {
     const near = this.servingBoxes(region);
-    const advised = near.length > 0 ? near : this.#options.alive();
+    const atHome = near.length > 0 ? near : homes.flatMap((home) => this.servingBoxes(home));
+    const advised = atHome.length > 0 ? atHome : this.#options.alive();
     return advised.map(({ address, callerPort }) => ({ address, port: callerPort }));
   }
 
@@ -143,6 +145,26 @@
     return isServing ? ofAll + SERVING_PART / countServing : ofAll;
   }
 
+  /**
+   * Lists the boxes that may call leafs of a data centre while these are cold: those that serve its region, also
+   * where they seem to be dead, as one that is cut off goes on calling. None before another box is known: the parts
+   * of boxes that start together would each be the whole.
+   *
+   * @param dataCentre - The data centre.
+   * @returns Their names.
+   */
+  callersOfCold(dataCentre: string): ReadonlyArray<string> {
+    const { members, settings } = this.#options;
+    const { regions } = settings();
+    const known = members().filter(({ state }) => state !== "leaving");
+    if (known.length < 2) {
+      return [];
+    }
+    const region = regions.get(dataCentre);
+    const near = known.filter((member) => regions.get(member.dataCentre) === region);
+    return servingBoxes(near).map(({ memberId }) => memberId);
+  }
+
   /** Boxes that serve some region: callers' requests come in at these. */
   servingEverywhere(): ReadonlyArray<Member> {
     const { regions } = this.#options.settings();
--- a/knowledge/box_knowledge.ts
+++ b/knowledge/box_knowledge.ts
@@ -6,16 +6,19 @@
 
 import type { Progress } from "../fleet/mod.js";
 import type { LeafTable } from "../leafs/mod.js";
+import type { EvacuationNews } from "../model/mod.js";
 import {
   CONFIGURATION_KIND,
   CONFIGURATION_NAME,
   decodeConfiguration,
+  EVACUATION_KIND,
   LEAF_KIND,
   type StoreClient,
   type StoreObject,
 } from "../platform/mod.js";
 import { type Configuration, type RouteTable, routeTable } from "../routing/mod.js";
 import type { BoxTelemetry } from "../telemetry/mod.js";
+import { Evacuations } from "./evacuations.js";
 import { LeafRegistry } from "./leaf_registry.js";
 import { RegistryWatch } from "./registry_watch.js";
 import { type SharedKnowledge, shareKnowledge } from "./shared_knowledge.js";
@@ -52,6 +55,10 @@
   readonly onConfiguration: (configuration: Configuration) => void;
   /** Told after each change of the leafs. */
   readonly onLeafs: () => void;
+  /** Whether operators may have data centres emptied; else the store is not asked for it. */
+  readonly hasEvacuations: boolean;
+  /** Told after each change of the evacuated data centres, with those that are used again. */
+  readonly onEvacuations: (usedAgain: ReadonlyArray<string>) => void;
 }
 
 /** The configuration and the leafs that a box acts by. */
@@ -59,7 +66,9 @@
   readonly #options: BoxKnowledgeOptions;
   readonly #configurationWatch: RegistryWatch;
   readonly #leafWatch: RegistryWatch;
+  readonly #evacuationWatch: RegistryWatch;
   readonly #leafs: LeafRegistry;
+  readonly #evacuations: Evacuations;
   readonly #health: StoreHealth;
   #startedAtMs = 0;
   #isWatcher = true;
@@ -80,6 +89,7 @@
       graceMs: () => health.graceMs,
       onChange: onLeafs,
     });
+    this.#evacuations = new Evacuations({ telemetry, nowMs, onChange: options.onEvacuations });
     this.#configurationWatch = new RegistryWatch(
       { store, kind: CONFIGURATION_KIND, waitMs, mayBeStale: false },
       health.listener(CONFIGURATION_KIND, {
@@ -94,7 +104,15 @@
         onChanges: (changes) => this.#leafs.takeChanges(changes),
       }),
     );
+    this.#evacuationWatch = new RegistryWatch(
+      { store, kind: EVACUATION_KIND, waitMs, mayBeStale: false },
+      health.listener(EVACUATION_KIND, {
+        onList: (list) => this.#evacuations.takeList(list),
+        onChanges: (changes) => this.#evacuations.takeChanges(changes),
+      }),
+    );
     this.#leafWatch.pause();
+    this.#evacuationWatch.pause();
   }
 
   /** Begins to watch the store. */
@@ -102,12 +120,14 @@
     this.#startedAtMs = this.#options.nowMs();
     void this.#configurationWatch.run();
     void this.#leafWatch.run();
+    void this.#evacuationWatch.run();
   }
 
   /** Ends the watches. */
   stop(): void {
     this.#configurationWatch.stop();
     this.#leafWatch.stop();
+    this.#evacuationWatch.stop();
   }
 
   /** Whether this box watches the store itself. */
@@ -135,6 +155,15 @@
       isWanted: this.#wantsLeafWatch(),
       revision: this.#leafs.revision,
     });
+    this.#setWanted(this.#evacuationWatch, EVACUATION_KIND, {
+      isWanted: isWatcher && this.#options.hasEvacuations && this.#hasLearntPeers,
+      revision: this.#evacuations.position,
+    });
+  }
+
+  /** Whether enough time has passed since the start to know who watches the store. */
+  get #hasLearntPeers(): boolean {
+    return this.#options.nowMs() - this.#startedAtMs > LEARN_PEERS_MS;
   }
 
   #wantsLeafWatch(): boolean {
@@ -178,6 +207,26 @@
     return this.#leafs.table;
   }
 
+  /** Data centres that operators have emptied: nothing more is sent to their leafs. */
+  get evacuated(): ReadonlySet<string> {
+    return this.#evacuations.dataCentres;
+  }
+
+  /** What other boxes are told of evacuations; nothing while there was none. */
+  get evacuationNews(): EvacuationNews | undefined {
+    return this.#evacuations.news;
+  }
+
+  /**
+   * Takes in what another box knows of evacuations.
+   *
+   * @param news - What it knows.
+   * @returns Whether it was ahead of this one.
+   */
+  hearEvacuations(news: EvacuationNews): boolean {
+    return this.#evacuations.hear(news);
+  }
+
   /** Revision of the store up to which the leafs' entries are known. */
   get leafsRevision(): number {
     return this.#leafs.revision;
@@ -209,6 +258,7 @@
   /** Drops the leafs whose entry did not come back in time. */
   dropOverdue(): void {
     this.#leafs.dropOverdue({ hearsStore: this.hearsStore });
+    this.#evacuations.dropOverdue();
   }
 
   /**
--- /dev/null
+++ b/knowledge/evacuations_test.ts
@@ -0,0 +1,54 @@
+import t from "tap";
+import { storePosition } from "../platform/mod.js";
+import { Evacuations } from "./evacuations.js";
+
+function makeEvacuations() {
+  const clock = { nowMs: 0 };
+  const usedAgain: Array<string> = [];
+  const evacuations = new Evacuations({
+    nowMs: () => clock.nowMs,
+    telemetry: { event: () => undefined },
+    onChange: (names) => usedAgain.push(...names),
+  });
+  return { clock, usedAgain, evacuations };
+}
+
+function objectsOf(...names: ReadonlyArray<string>) {
+  return names.map((name) => ({ name, revision: 1, spec: {} }));
+}
+
+t.test("an evacuation holds from its change to the one that takes it back", async (t) => {
+  const { evacuations, usedAgain } = makeEvacuations();
+  evacuations.takeList({ objects: [], revision: 5 });
+  t.equal(evacuations.news, undefined, "nothing is told while there was none");
+  evacuations.takeChanges({ changed: objectsOf("a"), removed: [], revision: 7 });
+  t.same([...evacuations.dataCentres], ["a"]);
+  evacuations.takeChanges({ changed: [], removed: ["a"], revision: 9 });
+  t.same([...evacuations.dataCentres], []);
+  t.same(usedAgain, ["a"]);
+  t.same(evacuations.news, { position: 9, dataCentres: [] }, "its end is told as well");
+});
+
+t.test("what another box knows counts where it is ahead", async (t) => {
+  const { evacuations } = makeEvacuations();
+  t.ok(evacuations.hear({ position: 7, dataCentres: ["a"] }));
+  t.notOk(evacuations.hear({ position: 6, dataCentres: [] }));
+  t.same([...evacuations.dataCentres], ["a"]);
+  evacuations.takeChanges({ changed: [], removed: ["a"], revision: 6 });
+  t.same([...evacuations.dataCentres], ["a"], "an older change of the store is passed over");
+});
+
+t.test(
+  "a store that came back older ends no evacuation before operators write it again",
+  async (t) => {
+    const { clock, evacuations } = makeEvacuations();
+    evacuations.takeList({ objects: objectsOf("a", "b"), revision: 100 });
+    evacuations.takeList({ objects: [], revision: storePosition({ era: 1, revision: 90 }) });
+    t.same([...evacuations.dataCentres], ["a", "b"]);
+    const revision = storePosition({ era: 1, revision: 92 });
+    evacuations.takeChanges({ changed: objectsOf("a"), removed: [], revision });
+    clock.nowMs = 60_000;
+    evacuations.dropOverdue();
+    t.same([...evacuations.dataCentres], ["a"], "what nobody wrote again ends at last");
+  },
+);
--- a/knowledge/mod.ts
+++ b/knowledge/mod.ts
@@ -4,6 +4,7 @@
  * @module
  */
 export * from "./box_knowledge.js";
+export * from "./evacuations.js";
 export * from "./leaf_news.js";
 export * from "./leaf_registry.js";
 export * from "./peer_catch_up.js";
--- a/leafs/choose_leaf.ts
+++ b/leafs/choose_leaf.ts
@@ -22,6 +22,10 @@
   readonly toldQueueMs?: (leaf: Leaf) => number;
   /** How the service's policy places calls; least loaded by default. */
   readonly placement?: Placement;
+  /** Tells whether a leaf may be asked at all; every one by default. */
+  readonly mayAsk?: (leaf: Leaf) => boolean;
+  /** Tells whether a leaf is cold, and so slower than usual; as its entry told by default. */
+  readonly isCold?: (leafId: string) => boolean;
   /** Leafs that were asked already. */
   readonly excluded: ReadonlySet<string>;
 }
@@ -103,6 +107,9 @@
     if (leaf.draining || condition.gone || view.excluded.has(leaf.leafId)) {
       continue;
     }
+    if (view.mayAsk?.(leaf) === false) {
+      continue;
+    }
     const distance = view.distance(leaf);
     const usualMs = condition.meanMs === 0 ? UNKNOWN_MS[distance] : condition.meanMs;
     const toldMs = view.toldQueueMs?.(leaf) ?? 0;
@@ -121,9 +128,10 @@
 function expectedTimeMs(
   { leaf, distance, usualMs }: Pick<ChosenLeaf, "leaf" | "distance" | "usualMs">,
   condition: LeafCondition,
-  { nowMs, waitedMs, placement = "least-loaded" }: ChoiceView,
+  { isCold, nowMs, waitedMs, placement = "least-loaded" }: ChoiceView,
 ): number {
-  const warmMs = leaf.warmingForMs > 0 ? usualMs * WARMUP_FACTOR : usualMs;
+  const isLeafCold = isCold?.(leaf.leafId) ?? leaf.warmingForMs > 0;
+  const warmMs = isLeafCold ? usualMs * WARMUP_FACTOR : usualMs;
   const load = loadOf(condition, nowMs);
   const queuedMs = warmMs * Math.max(1, (load + 1) / leaf.slots);
   const silentMs = isSilent(condition, waitedMs) ? SILENT_COST_MS : 0;
--- a/model/mod.ts
+++ b/model/mod.ts
@@ -4,6 +4,7 @@
  * @module
  */
 export * from "./catalog_object.js";
+export type * from "./evacuation_news.js";
 export * from "./limits.js";
 export * from "./member.js";
 export * from "./query.js";
--- a/relay/_lost_part_of.ts
+++ b/relay/_lost_part_of.ts
@@ -24,11 +24,11 @@
     return statusCode >= 200 && statusCode < 300 && signature !== "" ? undefined : "failed";
   },
   refused: () => "refused",
-  failed: ({ connectionLost = false, held = false, sent }) => {
+  failed: ({ barrier, connectionLost = false, sent }) => {
     if (connectionLost) {
       return "connection lost";
     }
-    if (held) {
+    if (barrier?.kind === "quarantined") {
       return "held";
     }
     return sent ? "failed" : "declined";
--- a/relay/_merged_relay.ts
+++ b/relay/_merged_relay.ts
@@ -87,8 +87,10 @@
 
   /** Asks a near leaf; tells how long it usually takes, 0 where there is none. */
   #ask(service: string): number {
-    const { calls, distance, leafs, nowMs, waitedMs } = this.#options;
-    const near = (leafs().byService.get(service) ?? []).filter((leaf) => distance(leaf) !== "far");
+    const { access, calls, distance, leafs, nowMs, waitedMs } = this.#options;
+    const near = (leafs().byService.get(service) ?? []).filter((leaf) => {
+      return distance(leaf) !== "far" && access.barrierTo(leaf, this.#call.routeKey) === undefined;
+    });
     const now = nowMs();
     const mostQueueMs = this.#order.patienceMs * MOST_QUEUE_PATIENCES;
     const sound = near.filter((leaf) => {
@@ -101,6 +103,7 @@
       waitedMs: waitedMs(),
       condition: (leafId) => calls.condition(leafId),
       distance,
+      isCold: (leafId) => access.isCold(leafId),
       excluded: NONE,
     });
     if (chosen === undefined) {
--- a/relay/_ordered_call.ts
+++ b/relay/_ordered_call.ts
@@ -19,8 +19,10 @@
 export function orderedCall(order: RelayOrder): OrderedCall {
   const { requestId, method, path, headers } = order;
   const body = undefined;
-  const fingerprint = requestFingerprint({ method, caller: hostOf(headers), path, body });
-  const content = { requestId, method, path, headers, body, fingerprint };
+  const host = hostOf(headers);
+  const fingerprint = requestFingerprint({ method, caller: host, path, body });
+  const routeKey = { host, path };
+  const content = { requestId, method, path, headers, body, fingerprint, routeKey };
   const mostBytes = mostAnswerBytes(servicesOf(order).length);
   return { ...content, mostBytes, repeatable: true, isTrial: false };
 }
--- a/relay/_relay.ts
+++ b/relay/_relay.ts
@@ -3,7 +3,9 @@
  *
  * @module
  */
+
 import type { LeafCalls } from "../calls/mod.js";
+import type { LeafAccess } from "../leaf_access/mod.js";
 import type { Distance, Leaf, LeafTable } from "../leafs/mod.js";
 
 /** What the server needs of its box. */
@@ -14,6 +16,8 @@
   readonly calls: LeafCalls;
   readonly leafs: () => LeafTable;
   readonly distance: (leaf: Leaf) => Distance;
+  /** Tells which leafs may be called; by what this box knows itself. */
+  readonly access: Pick<LeafAccess, "barrierTo" | "isCold">;
   /** Told how many parts were handed over. */
   readonly onParts: (count: number) => void;
 }
--- a/relay/_separate_relay.ts
+++ b/relay/_separate_relay.ts
@@ -51,12 +51,15 @@
 
   /** Asks a leaf; tells whether this box knows it as one that may be asked. */
   #ask({ service, leafId }: SeparateCall): boolean {
-    const { calls, leafs, nowMs } = this.#options;
+    const { access, calls, leafs, nowMs } = this.#options;
     const leaf = leafs().byId.get(leafId);
     const condition = calls.condition(leafId) ?? NEW_CONDITION;
     if (leaf === undefined || leaf.draining || condition.gone || isFull(condition, leaf)) {
       return false;
     }
+    if (access.barrierTo(leaf, this.#call.routeKey) !== undefined) {
+      return false;
+    }
     const { leftMs } = this.#order;
     this.#openCount += 1;
     const open = calls.send({ ...this.#call, leaf, deadlineAtMs: nowMs() + leftMs }, (outcome) => {
--- a/relay/merged_relay_test.ts
+++ b/relay/merged_relay_test.ts
@@ -47,6 +47,7 @@
       dropAtMs: new Map(),
     }),
     distance: () => "zone",
+    access: { barrierTo: () => undefined, isCold: () => false },
   });
   relay.start();
   t.teardown(() => relay.stop());
--- a/replay/run_replay.ts
+++ b/replay/run_replay.ts
@@ -257,7 +257,7 @@
   const { aimMs, deadlineMs, leastShare, name, priorityRank } = kind;
   return {
     ...{ name, host: "h", prefix: `/${name}/`, repeatable: true, maxAttempts: 2 },
-    ...{ timeoutMs: deadlineMs, aimMs, priorityRank },
+    ...{ timeoutMs: deadlineMs, aimMs, priorityRank, homes: [] },
     target: { kind: "gather", shards, topRecords: 1, leastShare },
   };
 }
--- a/request/_request_driver.ts
+++ b/request/_request_driver.ts
@@ -25,6 +25,7 @@
   aimMs: 100,
   priorityRank: 0,
   maxAttempts: 2,
+  homes: [],
   target: { kind: "gather", shards: ["s1", "s2"], topRecords: 2, leastShare: 0.5 },
 };
 
--- a/request/lost_part.ts
+++ b/request/lost_part.ts
@@ -10,7 +10,7 @@
   refused: { kind: "refused", reason: "full" },
   failed: { kind: "failed", sent: true, reason: "part is missing" },
   "connection lost": { kind: "failed", sent: true, reason: "leaf was lost", connectionLost: true },
-  held: { kind: "failed", sent: false, reason: "held", held: true },
+  held: { kind: "failed", sent: false, reason: "held" },
 };
 
 /**
--- a/request/request_state.ts
+++ b/request/request_state.ts
@@ -3,7 +3,9 @@
  *
  * @module
  */
+
 import type { Overload, PartsShortfall } from "../admission/mod.js";
+import type { Barrier } from "../leaf_access/mod.js";
 import type { ExtraCallKind } from "../limits/mod.js";
 import type { Calling } from "../quarantine/mod.js";
 import type { Route } from "../routing/mod.js";
@@ -60,8 +62,8 @@
       readonly reason: string;
       /** Whether the leaf's connection ended while the answer was awaited: the leaf may have ended with it. */
       readonly connectionLost?: boolean;
-      /** Whether it was not sent because leafs were lost under the query. */
-      readonly held?: boolean;
+      /** Why it was not sent, where the leaf may not be called at this moment. */
+      readonly barrier?: Barrier;
     };
 
 /** One try to get a shard's part, from a leaf or through a box near its leafs. */
--- a/routing/configuration.ts
+++ b/routing/configuration.ts
@@ -48,6 +48,8 @@
   readonly priorityRank: number;
   /** Most leafs that one request is sent to, for each shard. */
   readonly maxAttempts: number;
+  /** Regions outside which its requests are neither served nor kept; empty for anywhere. */
+  readonly homes: ReadonlyArray<string>;
   readonly target: RouteTarget;
 }
 
@@ -57,6 +59,10 @@
   /** Connections that a leaf takes from all boxes together. */
   readonly maxConnections: number;
   readonly healthPath: string;
+  /** Time for which a leaf stays cold after a start, in milliseconds. */
+  readonly warmupMs: number;
+  /** Calls a second that a cold leaf bears; 0 where nothing is said. */
+  readonly warmupPerS: number;
 }
 
 /** Bounds on what callers send. */
--- a/routing/route_table.ts
+++ b/routing/route_table.ts
@@ -46,6 +46,19 @@
   return target.kind === "gather" ? [{ name, aimMs, priorityRank, shards: target.shards }] : [];
 }
 
+/**
+ * Lists the regions in which requests to a host may be served.
+ *
+ * @param table - The configuration in force.
+ * @param host - The host.
+ * @returns Regions that are a home of each of its routes; empty where a route is served anywhere.
+ */
+export function homesOfHost(table: RouteTable, host: string): ReadonlyArray<string> {
+  const [first, ...others] = table.routesByHost.get(host.toLowerCase()) ?? [];
+  const homes = first?.homes ?? [];
+  return homes.filter((home) => others.every((route) => route.homes.includes(home)));
+}
+
 /** What of a request decides its route. */
 export interface RouteKey {
   /** Host as the caller named it, with or without a port. */
--- a/routing/route_table_test.ts
+++ b/routing/route_table_test.ts
@@ -12,6 +12,7 @@
     aimMs: 1,
     priorityRank: 0,
     maxAttempts: 1,
+    homes: [],
     target: { kind: "single", services: [{ service: "s", weight: 1 }] },
   };
 }
