Order the store's news by era, then by revision

Cause: a store that comes back from a copy gives revisions out again; boxes passed over all that it told until the count had caught up, and went on watching from a revision that meant something else. Entries that the copy lacks have the usual two seconds to come back; entries that it has kept too old are told apart by the leaf's own count. What boxes had written is written again.

--- a/box/box_shell.ts
+++ b/box/box_shell.ts
@@ -121,6 +121,7 @@
         this.#cold.setKnown(this.#knowledge.leafs.byId);
         this.#learned();
       },
+      onOlderStore: () => void this.#archive.keepAgain(this.#quarantine.records()),
       hasEvacuations: settings.hasEvacuations,
       onEvacuations: (usedAgain) => this.#evacuated(usedAgain),
     });
--- a/calls/_leaf_call_harness.ts
+++ b/calls/_leaf_call_harness.ts
@@ -19,6 +19,7 @@
     leafId: "i-1",
     bornAtEpochMs: 1,
     entryRevision: 1,
+    sequence: 1,
     service: "s",
     address: LOOPBACK,
     port,
--- a/knowledge/box_knowledge.ts
+++ b/knowledge/box_knowledge.ts
@@ -6,7 +6,7 @@
 
 import type { Progress } from "../fleet/mod.js";
 import type { LeafTable } from "../leafs/mod.js";
-import type { EvacuationNews } from "../model/mod.js";
+import { type EvacuationNews, eraOf, type StorePosition } from "../model/mod.js";
 import {
   CONFIGURATION_KIND,
   CONFIGURATION_NAME,
@@ -55,6 +55,8 @@
   readonly onConfiguration: (configuration: Configuration) => void;
   /** Told after each change of the leafs. */
   readonly onLeafs: () => void;
+  /** Told when the store has come back from a copy, so that it lacks what boxes wrote last. */
+  readonly onOlderStore: () => void;
   /** Whether operators may have data centres emptied; else the store is not asked for it. */
   readonly hasEvacuations: boolean;
   /** Told after each change of the evacuated data centres, with those that are used again. */
@@ -100,7 +102,10 @@
     this.#leafWatch = new RegistryWatch(
       { store, kind: LEAF_KIND, waitMs, mayBeStale: true },
       health.listener(LEAF_KIND, {
-        onList: (list) => this.#leafs.takeList(list),
+        onList: (list) => {
+          this.#noteEra(list.revision);
+          this.#leafs.takeList(list);
+        },
         onChanges: (changes) => this.#leafs.takeChanges(changes),
       }),
     );
@@ -292,6 +297,16 @@
     }
   }
 
+  /** Gives leafs time to write their entries again, and has what boxes had written written again. */
+  #noteEra(position: StorePosition): void {
+    if (this.#leafs.revision > 0 && eraOf(position) > eraOf(this.#leafs.revision)) {
+      this.#health.noteReturn();
+      const fields = { era: eraOf(position), before: eraOf(this.#leafs.revision) };
+      this.#options.telemetry.event("warn", "store: came back from a copy", fields);
+      this.#options.onOlderStore();
+    }
+  }
+
   #readConfiguration(objects: ReadonlyArray<StoreObject>): void {
     const object = objects.find(({ name }) => name === CONFIGURATION_NAME);
     if (object === undefined) {
--- a/knowledge/evacuations.ts
+++ b/knowledge/evacuations.ts
@@ -4,8 +4,8 @@
  *
  * @module
  */
-import type { EvacuationNews } from "../model/mod.js";
-import { eraOf, type StoreChanges, type StoreList, type StorePosition } from "../platform/mod.js";
+import { type EvacuationNews, eraOf, type StorePosition } from "../model/mod.js";
+import type { StoreChanges, StoreList } from "../platform/mod.js";
 import type { BoxTelemetry } from "../telemetry/mod.js";
 
 /**
--- a/knowledge/evacuations_test.ts
+++ b/knowledge/evacuations_test.ts
@@ -1,5 +1,5 @@
 import t from "tap";
-import { storePosition } from "../platform/mod.js";
+import { storePosition } from "../model/mod.js";
 import { Evacuations } from "./evacuations.js";
 
 function makeEvacuations() {
--- a/knowledge/leaf_registry.ts
+++ b/knowledge/leaf_registry.ts
@@ -12,6 +12,7 @@
   type LeafTable,
   NO_LEAFS,
 } from "../leafs/mod.js";
+import { eraOf, storePosition } from "../model/mod.js";
 import {
   decodeLeaf,
   type StoreChanges,
@@ -71,7 +72,7 @@
    */
   takeList({ objects, revision }: StoreList): void {
     if (revision >= this.#revision) {
-      const { leafs, unreadable } = this.#decode(objects);
+      const { leafs, unreadable } = this.#decode(objects, eraOf(revision));
       this.news.restart(revision);
       const options = { ...this.#removal(), unreadable };
       this.#set(applyLeafList(this.#table, leafs, options), revision);
@@ -85,7 +86,7 @@
    */
   takeChanges({ changed, removed, revision }: StoreChanges): void {
     if (revision > this.#revision) {
-      const { leafs, unreadable } = this.#decode(changed);
+      const { leafs, unreadable } = this.#decode(changed, eraOf(revision));
       this.news.note({
         changed: leafs.map(({ leafId }) => leafId),
         removed: [...removed, ...unreadable],
@@ -135,11 +136,11 @@
     return { nowMs: this.#options.nowMs(), graceMs: this.#options.graceMs() };
   }
 
-  #decode(objects: ReadonlyArray<StoreObject>): DecodedEntries {
+  #decode(objects: ReadonlyArray<StoreObject>, era: number): DecodedEntries {
     const leafs: Array<Leaf> = [];
     const unreadable: Array<string> = [];
     for (const { name, revision, spec } of objects) {
-      const leaf = decodeLeaf(name, spec, { revision });
+      const leaf = decodeLeaf(name, spec, { revision: storePosition({ era, revision }) });
       if (leaf === undefined) {
         unreadable.push(name);
       } else {
--- a/knowledge/quarantine_archive.ts
+++ b/knowledge/quarantine_archive.ts
@@ -94,6 +94,17 @@
     }
   }
 
+  /**
+   * Keeps queries again that the store may have lost as it came back from a copy.
+   *
+   * @param records - What is believed of all queries.
+   */
+  async keepAgain(records: ReadonlyArray<CrashRecord>): Promise<void> {
+    for (const record of records.filter(({ standing }) => standing === "quarantined")) {
+      await this.#untilDone("keep again", () => this.#create(record));
+    }
+  }
+
   /** Ends all tries. */
   stop(): void {
     this.#isStopped = true;
--- a/knowledge/shared_knowledge_test.ts
+++ b/knowledge/shared_knowledge_test.ts
@@ -16,7 +16,7 @@
 
 function leaf(leafId: string, draining = false): Leaf {
   const place = { address: "10.0.0.1", port: 80, dataCentre: "a" };
-  const life = { bornAtEpochMs: 1, entryRevision: 1 };
+  const life = { bornAtEpochMs: 1, entryRevision: 1, sequence: 1 };
   return { leafId, ...life, service: "s", ...place, slots: 2, draining, warmingForMs: 0 };
 }
 
--- a/knowledge/store_health.ts
+++ b/knowledge/store_health.ts
@@ -73,6 +73,11 @@
     this.#heardAtMs = this.#options.nowMs();
   }
 
+  /** Says that the store is back: entries that it lacks have the usual time to come back. */
+  noteReturn(): void {
+    this.#regainedAtMs = this.#options.nowMs();
+  }
+
   /**
    * Says that a kind is not watched any more, so that its watch tells nothing of the store.
    *
--- a/leafs/choose_leaf_test.ts
+++ b/leafs/choose_leaf_test.ts
@@ -7,6 +7,7 @@
   leafId: "b near",
   bornAtEpochMs: 1,
   entryRevision: 1,
+  sequence: 1,
   service: "s",
   address: "10.0.0.1",
   port: 1,
--- a/leafs/leaf.ts
+++ b/leafs/leaf.ts
@@ -10,8 +10,10 @@
   readonly leafId: string;
   /** When it started, in milliseconds since the epoch, by its own clock; 0 where it does not tell. */
   readonly bornAtEpochMs: number;
-  /** Revision of the store at which its entry was written: of two entries the later one holds. */
+  /** Position of the store at which its entry was written: of two entries of one era the later one holds. */
   readonly entryRevision: number;
+  /** Counts what the leaf has written in this incarnation. */
+  readonly sequence: number;
   readonly service: string;
   readonly address: string;
   readonly port: number;
--- a/leafs/leaf_table.ts
+++ b/leafs/leaf_table.ts
@@ -3,7 +3,8 @@
  *
  * @module
  */
-import type { Leaf } from "./leaf.js";
+import { eraOf } from "../model/mod.js";
+import { isSameIncarnation, type Leaf } from "./leaf.js";
 
 /** Leafs known, arranged for look-ups. */
 export interface LeafTable {
@@ -11,8 +12,13 @@
   readonly byService: ReadonlyMap<string, ReadonlyArray<Leaf>>;
   /** Leafs whose entry is gone but may come back, and the moment at which they are dropped. */
   readonly dropAtMs: ReadonlyMap<string, number>;
+  /** The latest leafs whose entry went, as last known: an older store may tell of them again. */
+  readonly ended?: ReadonlyMap<string, Leaf>;
 }
 
+/** Leafs that are remembered after their end: some minutes' worth of a rolling release. */
+const MOST_ENDED = 500;
+
 /** A table without leafs. */
 export const NO_LEAFS: LeafTable = { byId: new Map(), byService: new Map(), dropAtMs: new Map() };
 
@@ -48,16 +54,20 @@
 ): LeafTable {
   const byId = new Map(table.byId);
   const dropAtMs = new Map(table.dropAtMs);
+  const ended = new Map(table.ended);
   for (const leaf of changed) {
-    if (leaf.entryRevision >= (byId.get(leaf.leafId)?.entryRevision ?? 0)) {
+    const known = byId.get(leaf.leafId);
+    if (isCurrent(leaf, known ?? ended.get(leaf.leafId), { hasEnded: known === undefined })) {
       byId.set(leaf.leafId, leaf);
       dropAtMs.delete(leaf.leafId);
+      ended.delete(leaf.leafId);
     }
   }
   for (const leafId of removed) {
     if (graceMs > 0 && byId.get(leafId)?.draining === false) {
       dropAtMs.set(leafId, Math.min(dropAtMs.get(leafId) ?? Infinity, nowMs + graceMs));
     } else {
+      noteEnded(ended, byId.get(leafId));
       byId.delete(leafId);
       dropAtMs.delete(leafId);
     }
@@ -66,7 +76,40 @@
     byId.delete(leafId);
     dropAtMs.delete(leafId);
   }
-  return { byId, byService: groupByService(byId), dropAtMs };
+  return { byId, byService: groupByService(byId), dropAtMs, ended };
+}
+
+/**
+ * Tells whether an entry is not older than what is known. A store that comes back from a copy tells entries again
+ * that their leafs have overwritten since, at positions that count as later; there the leaf's own count decides. Else a
+ * leaf that had said it would end, or had ended, got work again.
+ */
+function isCurrent(
+  entry: Leaf,
+  known: Leaf | undefined,
+  { hasEnded }: { readonly hasEnded: boolean },
+): boolean {
+  if (known === undefined) {
+    return true;
+  }
+  const isOtherEra = eraOf(entry.entryRevision) !== eraOf(known.entryRevision);
+  if (isOtherEra && isSameIncarnation(entry, known)) {
+    return hasEnded ? entry.sequence > known.sequence : entry.sequence >= known.sequence;
+  }
+  return hasEnded || entry.entryRevision >= known.entryRevision;
+}
+
+/** Remembers a leaf whose entry is gone; the oldest is forgotten where there are too many. */
+function noteEnded(ended: Map<string, Leaf>, leaf: Leaf | undefined): void {
+  if (leaf === undefined) {
+    return;
+  }
+  ended.delete(leaf.leafId);
+  ended.set(leaf.leafId, leaf);
+  const [oldest] = ended.keys();
+  if (ended.size > MOST_ENDED && oldest !== undefined) {
+    ended.delete(oldest);
+  }
 }
 
 /** How a whole list of entries is taken in. */
--- a/model/mod.ts
+++ b/model/mod.ts
@@ -10,3 +10,4 @@
 export * from "./query.js";
 export * from "./schema.js";
 export * from "./service.js";
+export * from "./store_position.js";
--- a/relay/merged_relay_test.ts
+++ b/relay/merged_relay_test.ts
@@ -17,7 +17,14 @@
 function leafOf(service: string): Leaf {
   return {
     ...{ leafId: `${service}-a`, service, address: "10.0.0.1", port: 1, dataCentre: "here" },
-    ...{ slots: 2, draining: false, warmingForMs: 0, bornAtEpochMs: 1, entryRevision: 1 },
+    ...{
+      slots: 2,
+      draining: false,
+      warmingForMs: 0,
+      bornAtEpochMs: 1,
+      entryRevision: 1,
+      sequence: 1,
+    },
   };
 }
 
--- a/replay/run_replay.ts
+++ b/replay/run_replay.ts
@@ -249,7 +249,7 @@
   return {
     ...{ leafId: `${service} copy ${copy}`, service, address: "", port: 0, slots },
     ...{ dataCentre: String(region), draining: false, warmingForMs: 0 },
-    ...{ bornAtEpochMs: 0, entryRevision: 0 },
+    ...{ bornAtEpochMs: 0, entryRevision: 0, sequence: 0 },
   };
 }
 
--- a/standins/sample_leaf.ts
+++ b/standins/sample_leaf.ts
@@ -10,6 +10,7 @@
   leafId: "i-1",
   bornAtEpochMs: 1,
   entryRevision: 1,
+  sequence: 1,
   service: "s",
   address: "127.0.0.1",
   port: 1,
