Let a box that has long heard no other name itself alone to callers

Cause, found by reading: a box that is cut off from its peers but not from callers asks one other a second, so that of 60 boxes it takes most for alive long after they have ended, and names them: each costs a caller a second. Change: once no other box was heard for the time after which rules hold again, the directory names this box alone; those killed before were known by then. Where no box near the caller can be given work it names boxes at home first.

--- a/box/box_shell.ts
+++ b/box/box_shell.ts
@@ -109,6 +109,7 @@
       settings: () => this.#settings,
       members: () => this.#fleet.members(),
       alive: () => this.#fleet.alive(),
+      unheardForMs: () => this.#fleet.unheardForMs,
     });
     this.#knowledge = new BoxKnowledge({
       store: this.#store,
--- a/fleet/fleet_link.ts
+++ b/fleet/fleet_link.ts
@@ -72,6 +72,8 @@
   #asked: { readonly number: number; readonly memberId: string } | undefined;
   #timer: NodeJS.Timeout | undefined;
   #isStopped = false;
+  /** When another box was last heard. */
+  #heardAtMs = Number.NEGATIVE_INFINITY;
   #askAgainTimer: NodeJS.Timeout | undefined;
 
   /**
@@ -106,6 +108,11 @@
     return [this.#membership.self, ...others];
   }
 
+  /** Time for which no other box was heard, in milliseconds; 0 where none was ever heard. */
+  get unheardForMs(): number {
+    return Number.isFinite(this.#heardAtMs) ? this.#options.nowMs() - this.#heardAtMs : 0;
+  }
+
   /**
    * Changes this box's own state and tells all others at once.
    *
@@ -227,6 +234,7 @@
       return;
     }
     const { nowMs, onMember, onProgress } = this.#options;
+    this.#heardAtMs = nowMs();
     const heard = hearMembers(this.#membership, message.members, { nowMs: nowMs() });
     this.#membership = heard.membership;
     heard.changed.forEach(onMember);
--- a/fleet/fleet_view.ts
+++ b/fleet/fleet_view.ts
@@ -21,11 +21,16 @@
 
 /** What the view is made from. */
 export interface FleetViewOptions {
-  readonly settings: () => Pick<BoxSettings, "box" | "dataCentre" | "regions" | "seeds">;
+  readonly settings: () => Pick<
+    BoxSettings,
+    "box" | "dataCentre" | "regions" | "seeds" | "soundAfterMs"
+  >;
   /** All boxes heard of, this one included. */
   readonly members: () => ReadonlyArray<Member>;
   /** Boxes that can be given work, this one included if it can. */
   readonly alive: () => ReadonlyArray<Member>;
+  /** Time for which no other box was heard, in milliseconds. */
+  readonly unheardForMs: () => number;
 }
 
 /** The fleet as one box sees it. */
@@ -77,15 +82,29 @@
    *
    * @param region - Where the caller stands.
    * @param homes - Regions in which the routes of the host that the caller asked for are served; any by default.
-   * @returns Addresses of that region's boxes; where none there can be given work, of those at home, else of all.
+   * @returns Addresses of that region's boxes; where none there can be given work, of those at home, else of all. This box alone
+   *   while it is cut off from the others.
    */
   advise(region: string, homes: ReadonlyArray<string> = []): ReadonlyArray<SocketAddress> {
-    const near = this.servingBoxes(region);
+    const self = this.#alone();
+    const near = self === undefined ? this.servingBoxes(region) : [self];
     const atHome = near.length > 0 ? near : homes.flatMap((home) => this.servingBoxes(home));
     const advised = atHome.length > 0 ? atHome : this.#options.alive();
     return advised.map(({ address, callerPort }) => ({ address, port: callerPort }));
   }
 
+  /**
+   * This box, where it has been cut off from all others for so long that boxes it takes for alive may have ended a
+   * while ago: naming them would cost each caller a second.
+   */
+  #alone(): Member | undefined {
+    const { alive, settings, unheardForMs } = this.#options;
+    const { box, soundAfterMs } = settings();
+    return unheardForMs() > soundAfterMs
+      ? alive().find(({ memberId }) => memberId === box)
+      : undefined;
+  }
+
   /** Whether this box is among those that watch the store; kept until a box changes. */
   watchesStore(): boolean {
     this.#watchesStore ??= storeWatchers(this.#nearLiving()).has(this.#options.settings().box);
--- a/fleet/fleet_view_test.ts
+++ b/fleet/fleet_view_test.ts
@@ -19,11 +19,12 @@
   return names.split(" ").map((box) => memberOf(box, dataCentre));
 });
 
-function viewOf({ box, dataCentre }: Member): FleetView {
+function viewOf({ box, dataCentre }: Member, unheardForMs = 0): FleetView {
   return new FleetView({
-    settings: () => ({ box, dataCentre, regions: REGIONS, seeds: [] }),
+    settings: () => ({ box, dataCentre, regions: REGIONS, seeds: [], soundAfterMs: 4_000 }),
     members: () => MEMBERS,
     alive: () => MEMBERS,
+    unheardForMs: () => unheardForMs,
   });
 }
 
@@ -51,6 +52,31 @@
   },
 );
 
+// What was seen by reading: a box that is cut off from all others asks one of them a second, so that of 60 boxes it still
+// took most for alive a minute after they had ended, and named them to callers.
+t.test("a box that has long heard no other names itself alone to callers", async (t) => {
+  const [self] = MEMBERS;
+  if (self === undefined) {
+    throw new Error("Cannot test without a box");
+  }
+  t.equal(viewOf(self, 3_900).advise("south").length, 3, "others while its knowledge is young");
+  t.same(viewOf(self, 4_100).advise("south"), [{ address: self.address, port: self.callerPort }]);
+});
+
+t.test(
+  "the directory names boxes at home where none near the caller can be given work",
+  async (t) => {
+    const [self] = MEMBERS;
+    if (self === undefined) {
+      throw new Error("Cannot test without a box");
+    }
+    const view = viewOf(self);
+    t.equal(view.advise("nowhere", ["east"]).length, 2);
+    t.equal(view.advise("south", ["east"]).length, 3, "those near first");
+    t.equal(view.advise("nowhere").length, MEMBERS.length);
+  },
+);
+
 // A fleet as it is in the load pattern of few roomy boxes: 18 of 195 take all requests.
 const LARGE_FLEET = [...REGIONS.keys()].flatMap((dataCentre) => {
   return Array.from({ length: 65 }, (_, index) => {
@@ -61,9 +87,10 @@
 
 function viewAmong(members: ReadonlyArray<Member>, { box, dataCentre }: Member): FleetView {
   return new FleetView({
-    settings: () => ({ box, dataCentre, regions: REGIONS, seeds: [] }),
+    settings: () => ({ box, dataCentre, regions: REGIONS, seeds: [], soundAfterMs: 4_000 }),
     members: () => members,
     alive: () => members,
+    unheardForMs: () => 0,
   });
 }
 
