Fault soak: routes with homes, emptied data centres, a store that comes back older

Change: a route with a home in one region, two kinds of fault, two promises checked from outside (a request with homes runs at home only; an emptied data centre gets nothing more). Leafs and operators write again what an older store lacks; leafs that drain go on writing, as real ones do.

--- a/fault_soak/fault_handlers.ts
+++ b/fault_soak/fault_handlers.ts
@@ -22,6 +22,14 @@
 /** How often a query that ends leafs comes to each box. */
 const CRASHING_ROUNDS = 4;
 
+/** Time that the store is away before it comes back older, and until all is written again, in milliseconds. */
+const AWAY_MS = 200;
+const WRITE_AGAIN_MS = 700;
+
+/** Data centres that are emptied, one at a time, and for how long at least, in milliseconds. */
+const DATA_CENTRES = ["hall-a", "hall-b"] as const;
+const EMPTY_MS = 4_000;
+
 /** Time that a leaf that drains serves on, in milliseconds. */
 const DRAIN_MS = 3_500;
 
@@ -31,6 +39,7 @@
   "storeDown",
   "storeSlow",
   "storeForgets",
+  "storeOlder",
   "boxCutFromStore",
   "storeConnectionsSilent",
   "allStoreConnectionsSilent",
@@ -96,6 +105,7 @@
       return false;
     }
     soak.leafs.splice(soak.leafs.indexOf(old), 1);
+    old.hasEnded = true;
     old.leaf.crash();
     await pause(forMs / 4);
     await soak.addLeaf(old.service, old.dataCentre, { leafId: old.leaf.leafId });
@@ -134,6 +144,29 @@
     fleet.platform.compact();
     return true;
   },
+  storeOlder: async (soak, { forMs }) => {
+    const { platform } = soak.fleet;
+    const copied = platform.revision();
+    await pause(forMs);
+    platform.setFaults({ mode: "down" });
+    platform.restore(copied);
+    await pause(AWAY_MS);
+    platform.setFaults({ mode: "up" });
+    await pause(WRITE_AGAIN_MS);
+    soak.writeAgain();
+    return true;
+  },
+  dataCentreEmptied: async (soak, { target, forMs }) => {
+    const dataCentre = pick(DATA_CENTRES, target);
+    const isEmpty = soak.evacuations.some(({ untilMs }) => untilMs === Number.POSITIVE_INFINITY);
+    if (dataCentre === undefined || isEmpty) {
+      return false;
+    }
+    const evacuation = soak.evacuate(dataCentre);
+    await pause(EMPTY_MS + forMs);
+    soak.endEvacuation(evacuation);
+    return true;
+  },
   boxCutFromStore: async ({ boxes }, { target, forMs }) => {
     const hit = pick(boxes, target);
     hit?.storeLink.harm({ holdsAnswers: true, holdsRequests: true });
--- a/fault_soak/fault_plan.ts
+++ b/fault_soak/fault_plan.ts
@@ -35,6 +35,8 @@
   "leafRestarted",
   "strangeEntries",
   "crashingQuery",
+  "storeOlder",
+  "dataCentreEmptied",
 ] as const;
 
 /** A kind of fault. */
--- a/fault_soak/promises.ts
+++ b/fault_soak/promises.ts
@@ -12,7 +12,15 @@
   seenSignature,
   serviceRecords,
 } from "../platform/standin/mod.js";
-import { ENDS_LEAFS, LEDGER, RECORDS, SHARDS, type SoakBox, type SoakFleet } from "./soak_fleet.js";
+import {
+  ENDS_LEAFS,
+  HOME_ROUTE,
+  LEDGER,
+  RECORDS,
+  SHARDS,
+  type SoakBox,
+  type SoakFleet,
+} from "./soak_fleet.js";
 
 /** Time in which a change in the store is acted on by boxes that nothing disturbs, in milliseconds. */
 const NEWS_DUE_MS = 3_000;
@@ -87,11 +95,10 @@
     if (response.statusCode === 503) {
       this.#notRun.push(requestId);
     }
-    if (response.statusCode === 200 && path === "/sweep/") {
-      this.#judgeSweep(requestId, response);
-    }
-    if (response.statusCode === 200 && path !== "/sweep/") {
-      this.#judgeSingle(requestId, response);
+    if (response.statusCode === 200) {
+      const isGathered = path === "/sweep/" || path === HOME_ROUTE.prefix;
+      const judge = isGathered ? this.#judgeSweep : this.#judgeSingle;
+      judge.call(this, requestId, response);
     }
     this.#judgeVersion(seen, response.statusCode);
   }
@@ -106,6 +113,8 @@
     this.#judgeDraining(disturbances);
     this.#judgeInForce(disturbances);
     this.#judgeCrashingQueries(disturbances);
+    this.#judgeHomes();
+    this.#judgeEvacuations(disturbances);
   }
 
   #check(promise: string, holds: boolean, detail: () => string): void {
@@ -225,6 +234,33 @@
     }
   }
 
+  #judgeHomes(): void {
+    for (const { leaf, dataCentre } of this.#soak.allLeafs) {
+      const away = leaf.runs.find(({ path }) => {
+        return path.startsWith(HOME_ROUTE.prefix) && dataCentre !== HOME_ROUTE.dataCentre;
+      });
+      this.#check("a request with homes runs at home only", away === undefined, () => {
+        return `${away?.requestId} ran at ${leaf.leafId} in ${dataCentre}`;
+      });
+    }
+  }
+
+  #judgeEvacuations(disturbances: ReadonlyArray<Disturbance>): void {
+    for (const { dataCentre, fromMs, untilMs } of this.#soak.evacuations) {
+      const dueMs = newsDueAtMs(fromMs, disturbances);
+      const runs = this.#soak.allLeafs
+        .filter((each) => each.dataCentre === dataCentre)
+        .flatMap(({ leaf }) => leaf.runs);
+      const late = runs.filter(({ atMs }) => {
+        return atMs > dueMs && atMs < untilMs && !isDisturbed(atMs, disturbances);
+      });
+      this.#check("an emptied data centre gets nothing more", late.length === 0, () => {
+        const byMs = Math.round((late.at(-1)?.atMs ?? 0) - fromMs);
+        return `${dataCentre} ran ${late.length} requests, up to ${byMs} ms after`;
+      });
+    }
+  }
+
   #judgeInForce(disturbances: ReadonlyArray<Disturbance>): void {
     for (const { seen, version, isServed } of this.#versionRequests) {
       const dueMs = newsDueAtMs(this.#soak.changedAtMs(version), disturbances);
--- a/fault_soak/soak_callers.ts
+++ b/fault_soak/soak_callers.ts
@@ -7,7 +7,7 @@
 import prand from "pure-rand";
 import { pause } from "../standins/waiting.js";
 import type { Promises } from "./promises.js";
-import { HOST, LEDGER, type SoakBox, type SoakFleet } from "./soak_fleet.js";
+import { HOME_ROUTE, HOST, LEDGER, type SoakBox, type SoakFleet } from "./soak_fleet.js";
 
 /** Time between two requests of a caller, in milliseconds. */
 const PAUSE_MS = 15;
@@ -105,7 +105,8 @@
   }
 
   #pickPath(): string {
-    const paths = ["/sweep/", "/sweep/", `/${LEDGER}/`, `/version-${this.#soak.version}/`];
+    const version = `/version-${this.#soak.version}/`;
+    const paths = ["/sweep/", "/sweep/", HOME_ROUTE.prefix, `/${LEDGER}/`, version];
     return paths[this.#int(paths.length)] ?? "/sweep/";
   }
 
--- a/fault_soak/soak_fleet.ts
+++ b/fault_soak/soak_fleet.ts
@@ -26,6 +26,19 @@
 /** Part of a path under which leafs end. */
 export const ENDS_LEAFS = "ends-leafs-";
 
+/** Route that is served in one region only, and the data centres there. */
+export const HOME_ROUTE = { prefix: "/home/", region: "south", dataCentre: "hall-b" } as const;
+
+/** Time in which nothing more goes to an evacuated data centre, in milliseconds. */
+const EVACUATION_MS = 2_500;
+
+/** A time in which a data centre was to be empty, on this process's clock. */
+export interface Evacuation {
+  readonly dataCentre: ZoneName;
+  readonly fromMs: number;
+  untilMs: number;
+}
+
 /** Records of each leaf's answer, and those that a gathered answer holds. */
 export const RECORDS = { perLeaf: 8, top: 5 } as const;
 
@@ -44,6 +57,8 @@
   readonly link: LinkProxy;
   /** Moment at which it said that it is draining; infinite before. */
   drainingSinceMs: number;
+  /** Whether its process has ended, so that it writes nothing any more; one that drains writes on. */
+  hasEnded: boolean;
 }
 
 /** A box with the proxy between it and the store. */
@@ -67,6 +82,8 @@
   readonly allLeafs: Array<SoakLeaf> = [];
   /** When each version of the configuration was written, the first at 0; on this process's clock. */
   readonly #changedAtMs: Array<number> = [];
+  /** All times in which a data centre was to be empty. */
+  readonly evacuations: Array<Evacuation> = [];
   #leafCount = 0;
 
   private constructor(fleet: BoxFleet) {
@@ -80,7 +97,7 @@
    * @returns The programs.
    */
   static async start(boxCount: number): Promise<SoakFleet> {
-    const soak = new SoakFleet(await BoxFleet.start());
+    const soak = new SoakFleet(await BoxFleet.start({ evacuationMs: EVACUATION_MS }));
     soak.changeConfiguration();
     for (const service of [...SHARDS, LEDGER]) {
       for (const dataCentre of LEAF_ZONES) {
@@ -105,6 +122,37 @@
     this.fleet.configure(configuration(this.version));
   }
 
+  /** Asks that nothing more be sent to the leafs of a data centre. */
+  evacuate(dataCentre: ZoneName): Evacuation {
+    const evacuation = { dataCentre, fromMs: performance.now(), untilMs: Number.POSITIVE_INFINITY };
+    this.evacuations.push(evacuation);
+    this.fleet.platform.put("evacuations", dataCentre, {});
+    return evacuation;
+  }
+
+  /** Takes an evacuation back. */
+  endEvacuation(evacuation: Evacuation): void {
+    evacuation.untilMs = performance.now();
+    this.fleet.platform.remove("evacuations", evacuation.dataCentre);
+  }
+
+  /** Writes what operators and leafs had written, as a store that came back from a copy lacks the latest of it. */
+  writeAgain(): void {
+    this.fleet.configure(configuration(this.version));
+    for (const { dataCentre, untilMs } of this.evacuations) {
+      if (untilMs === Number.POSITIVE_INFINITY) {
+        this.fleet.platform.put("evacuations", dataCentre, {});
+      } else {
+        this.fleet.platform.remove("evacuations", dataCentre);
+      }
+    }
+    for (const { leaf, hasEnded } of this.allLeafs) {
+      if (!hasEnded) {
+        leaf.writeAgain();
+      }
+    }
+  }
+
   /**
    * Tells when a configuration was written.
    *
@@ -143,7 +191,8 @@
       },
     });
     const [link = new LinkProxy(0)] = links;
-    const entry = { service, dataCentre, leaf, link, drainingSinceMs: Number.POSITIVE_INFINITY };
+    const state = { drainingSinceMs: Number.POSITIVE_INFINITY, hasEnded: false };
+    const entry = { service, dataCentre, leaf, link, ...state };
     this.leafs.push(entry);
     this.allLeafs.push(entry);
   }
@@ -177,6 +226,10 @@
     version,
     routes: [
       { host: HOST, name: "sweep", prefix: "/sweep/", repeatable: true, gather },
+      {
+        ...{ host: HOST, name: "home", prefix: HOME_ROUTE.prefix, repeatable: true, gather },
+        homes: [HOME_ROUTE.region],
+      },
       { ...single, name: LEDGER, prefix: `/${LEDGER}/`, repeatable: false },
       ...added,
     ],
