Choose leafs by the pace that they report and by the objective of the query

Cause of late searches: the price of distance (100 ms) kept queries at near leafs that took 110 of 112 ms, and each box needed several slow answers to learn of each leaf. Change: leaf_pace.ts takes in the report and believes it for as long as it has lasted, 250 ms to 2 s; what a leaf is expected to take beyond half the objective weighs four times, more than any distance. Both are ways that the replay can go without.

--- a/box/_run_world.ts
+++ b/box/_run_world.ts
@@ -18,6 +18,8 @@
   readonly fingerprint: string;
   /** Host and path by which its route is found. */
   readonly routeKey: RouteKey;
+  /** Time within which its answer is worth most, in milliseconds. */
+  readonly objectiveMs: number;
   /** How the request's policy places calls. */
   readonly placement: Placement;
 }
@@ -33,6 +35,7 @@
   readonly #box: RunnerOptions;
   readonly #placement: Placement;
   readonly #fingerprint: string;
+  readonly #objectiveMs: number;
   readonly #chosenBoxes = new Map<string, Member>();
   readonly #condition: ChoiceView["condition"];
   readonly #distance: ChoiceView["distance"];
@@ -48,10 +51,12 @@
    * @param box - What the runner has of its box.
    * @param options - The request.
    */
-  constructor(box: RunnerOptions, { fingerprint, placement, routeKey }: RunWorldOptions) {
+  constructor(box: RunnerOptions, options: RunWorldOptions) {
+    const { fingerprint, objectiveMs, placement, routeKey } = options;
     this.#box = box;
     this.#fingerprint = fingerprint;
     this.#placement = placement;
+    this.#objectiveMs = objectiveMs;
     this.#condition = (leafId) => box.calls.condition(leafId);
     this.#distance = (leaf) => box.places.distance(leaf);
     this.#toldQueueMs = (leaf) => this.#queueAt(box.places.placeOf(leaf));
@@ -89,6 +94,7 @@
       excluded,
       mayAsk: this.#mayAsk,
       isCold: this.#isCold,
+      objectiveMs: this.#objectiveMs,
       toldQueueMs: this.#toldQueueMs,
       placement: this.#placement,
     });
--- a/box/request_runner.ts
+++ b/box/request_runner.ts
@@ -159,7 +159,11 @@
     this.#state = newRequest(options.terms, options.services);
     const { nowMs, calls, quarantine, relays } = box;
     const { terms, forwarded, placement } = options;
-    this.#world = new RunWorld(box, { ...forwarded, placement });
+    this.#world = new RunWorld(box, {
+      ...forwarded,
+      placement,
+      objectiveMs: terms.aimAtMs - terms.arrivedAtMs,
+    });
     this.#orders = new RunOrders({
       ...{ nowMs, calls, quarantine, relays, terms, forwarded },
       chosenBox: (name) => this.#world.chosenBox(name),
--- a/calls/_answer_reader.ts
+++ b/calls/_answer_reader.ts
@@ -11,6 +11,7 @@
   decodeLeafResponse,
   encodeLeafHeaders,
   isAnswerTo,
+  type LeafNews,
 } from "../platform/mod.js";
 import type { AnswerHeaders, AttemptOutcome } from "../request/mod.js";
 import type { WaitingCall } from "./_releasing_handler.js";
@@ -23,9 +24,8 @@
 const TOO_LONG = "answer is too long";
 
 /** How a call ended, with what the leaf told beside it. */
-export interface EndedCall {
+export interface EndedCall extends LeafNews {
   readonly outcome: AttemptOutcome;
-  readonly toldLoad: number | undefined;
 }
 
 /** What reading answers needs of the box. */
@@ -173,7 +173,7 @@
   #end(outcome: AttemptOutcome): void {
     if (!this.#ended) {
       this.#ended = true;
-      this.#onEnd({ outcome, toldLoad: decodeLeafNews(this.#headers).toldLoad });
+      this.#onEnd({ outcome, ...decodeLeafNews(this.#headers) });
     }
   }
 }
--- a/calls/leaf_calls.ts
+++ b/calls/leaf_calls.ts
@@ -114,13 +114,13 @@
     const waitedMs = this.#options.waitedMs();
     const incarnation = this.#incarnationOf(call.leaf.leafId);
     incarnation.condition = noteSent(incarnation.condition, { callId, waitedMs });
-    const handler = new AnswerReader(call, this.#options, ({ outcome, toldLoad }) => {
+    const handler = new AnswerReader(call, this.#options, ({ outcome, ...news }) => {
       this.#open.delete(callId);
       const end: CallEnd = {
         callId,
         ...this.#now(),
         result: resultOf(outcome),
-        toldLoad,
+        ...news,
         slots: call.leaf.slots,
       };
       incarnation.condition = noteEnded(incarnation.condition, end);
--- a/leafs/choose_leaf.ts
+++ b/leafs/choose_leaf.ts
@@ -5,6 +5,7 @@
  */
 import type { Leaf } from "./leaf.js";
 import { expectedLoss, type LeafCondition, NEW_CONDITION } from "./leaf_condition.js";
+import { expectedPace } from "./leaf_pace.js";
 
 /** How far a leaf is from this box. */
 export type Distance = "zone" | "region" | "far";
@@ -26,6 +27,11 @@
   readonly mayAsk?: (leaf: Leaf) => boolean;
   /** Tells whether a leaf is cold, and so slower than usual; as its entry told by default. */
   readonly isCold?: (leafId: string) => boolean;
+  /**
+   * Time within which the answer is worth most, in milliseconds: what a leaf is expected to miss of it weighs more than
+   * any distance. Left out where it is not known.
+   */
+  readonly objectiveMs?: number | undefined;
   /** Leafs that were asked already. */
   readonly excluded: ReadonlySet<string>;
 }
@@ -37,6 +43,18 @@
  */
 const DISTANCE_COST_MS: Readonly<Record<Distance, number>> = { zone: 0, region: 4, far: 100 };
 
+/**
+ * Share of the objective that a leaf may take before its answer is taken to come late: the other half is for merging and
+ * for a second call elsewhere.
+ */
+const TIMELY_SHARE = 0.5;
+
+/**
+ * Weight of what a leaf is expected to take beyond that. The price of bytes between regions alone kept queries at near
+ * leafs that took 110 of 112 ms: of 150 searches 46 came late while each shard had two leafs as usual.
+ */
+const LATE_WEIGHT = 4;
+
 /** Ways to place calls: by expected time, near ones almost always, or whatever the distance. */
 export type Placement = "least-loaded" | "nearest" | "spread";
 
@@ -111,7 +129,8 @@
       continue;
     }
     const distance = view.distance(leaf);
-    const usualMs = condition.meanMs === 0 ? UNKNOWN_MS[distance] : condition.meanMs;
+    const knownMs = condition.meanMs === 0 ? UNKNOWN_MS[distance] : condition.meanMs;
+    const usualMs = knownMs * expectedPace(condition.pace, view.nowMs);
     const toldMs = view.toldQueueMs?.(leaf) ?? 0;
     const expectedMs = expectedTimeMs({ leaf, distance, usualMs }, condition, view) + toldMs;
     if (expectedMs < bestMs) {
@@ -128,7 +147,7 @@
 function expectedTimeMs(
   { leaf, distance, usualMs }: Pick<ChosenLeaf, "leaf" | "distance" | "usualMs">,
   condition: LeafCondition,
-  { isCold, nowMs, waitedMs, placement = "least-loaded" }: ChoiceView,
+  { isCold, nowMs, objectiveMs, waitedMs, placement = "least-loaded" }: ChoiceView,
 ): number {
   const isLeafCold = isCold?.(leaf.leafId) ?? leaf.warmingForMs > 0;
   const warmMs = isLeafCold ? usualMs * WARMUP_FACTOR : usualMs;
@@ -138,7 +157,9 @@
   const avoidMs = condition.avoidUntilMs > nowMs ? AVOID_COST_MS : 0;
   const lossMs = expectedLoss(condition, nowMs) * LOSS_COST_MS;
   const distanceMs = DISTANCE_COST_MS[distance] * DISTANCE_FACTORS[placement];
-  return queuedMs + distanceMs + silentMs + avoidMs + lossMs;
+  const timelyMs = (objectiveMs ?? Number.POSITIVE_INFINITY) * TIMELY_SHARE;
+  const lateMs = Math.max(0, queuedMs - timelyMs) * LATE_WEIGHT;
+  return queuedMs + lateMs + distanceMs + silentMs + avoidMs + lossMs;
 }
 
 /** Calls at a leaf: those of this box, or what it told, which counts for less the older it is. */
@@ -161,7 +182,7 @@
   nowMs: number,
 ): number {
   const ahead = Math.max(0, loadOf(condition, nowMs) + 1 - slots);
-  return (ahead / slots) * condition.workMs;
+  return (ahead / slots) * condition.workMs * expectedPace(condition.pace, nowMs);
 }
 
 /**
--- a/leafs/choose_leaf_test.ts
+++ b/leafs/choose_leaf_test.ts
@@ -67,3 +67,17 @@
   t.notOk(isSilent({ ...NEW_CONDITION, meanMs: 20, openCalls: one }, 900));
   t.ok(isSilent({ ...NEW_CONDITION, meanMs: 20, openCalls: several }, 900));
 });
+
+t.test("chooseLeaf() goes by the pace that a leaf reports now", async (t) => {
+  const pace = { factor: 11, reportedAtMs: 990, sinceMs: 990 };
+  const view = viewOf({ "b near": { pace } }, { objectiveMs: 100 });
+  t.equal(chooseLeaf([FAR, NEAR], view)?.leaf, FAR);
+  t.equal(chooseLeaf([FAR, NEAR], { ...view, nowMs: 2_000 })?.leaf, NEAR, "for a while");
+});
+
+t.test("chooseLeaf() keeps to a near leaf that is slow but in time", async (t) => {
+  const view = viewOf({ "b near": { meanMs: 45 } }, { objectiveMs: 100 });
+  t.equal(chooseLeaf([FAR, NEAR], view)?.leaf, NEAR);
+  const late = viewOf({ "b near": { meanMs: 90 } }, { objectiveMs: 100 });
+  t.equal(chooseLeaf([FAR, NEAR], late)?.leaf, FAR);
+});
--- a/leafs/leaf_condition.ts
+++ b/leafs/leaf_condition.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { updateMean } from "../latency/mod.js";
+import { type LeafPace, notePace, USUAL_PACE } from "./leaf_pace.js";
 
 /** A call that is not answered yet. */
 export interface OpenLeafCall {
@@ -14,7 +15,10 @@
 
 /** What this box has seen of one leaf. */
 export interface LeafCondition {
-  /** Mean time of an answered call, in milliseconds, the network included; 0 before the first. */
+  /**
+   * Mean time of an answered call while the leaf works as usual, in milliseconds, the network included; 0 before the
+   * first.
+   */
   readonly meanMs: number;
   /**
    * Mean time that the leaf itself takes for a call once it runs it, in milliseconds, worked out from
@@ -29,6 +33,8 @@
   readonly toldLoad: number;
   /** When it told that. */
   readonly toldAtMs: number;
+  /** How long work takes there, as it last reported. */
+  readonly pace: LeafPace;
   /** Share of the latest calls, 0 to 1, that the leaf refused or that came to nothing. */
   readonly lostShare: number;
   /** When a call last did. */
@@ -49,6 +55,7 @@
   heardAtWaitedMs: 0,
   toldLoad: 0,
   toldAtMs: 0,
+  pace: USUAL_PACE,
   lostShare: 0,
   lostAtMs: 0,
   failuresInRow: 0,
@@ -97,6 +104,8 @@
   readonly result: "answered" | "failed" | "full" | "gone" | "abandoned";
   /** Load that the leaf told with its answer. */
   readonly toldLoad?: number | undefined;
+  /** Times as long as usual that work takes there, as it reported with its answer. */
+  readonly paceFactor?: number | undefined;
   /** Requests that the leaf runs at the same time; needed to make something of its load. */
   readonly slots?: number;
 }
@@ -113,8 +122,10 @@
   const tookMs = call === undefined ? 0 : end.waitedMs - call.sentAtWaitedMs;
   const openCalls = condition.openCalls.filter(({ callId }) => callId !== end.callId);
   const told = end.toldLoad === undefined ? {} : { toldLoad: end.toldLoad, toldAtMs: end.nowMs };
-  const ended = { ...condition, openCalls, ...told };
-  return END_HANDLERS[end.result](ended, end, tookMs);
+  const { paceFactor: factor, nowMs } = end;
+  const pace = factor === undefined ? condition.pace : notePace(condition.pace, { factor, nowMs });
+  const ended = { ...condition, openCalls, pace, ...told };
+  return END_HANDLERS[end.result](ended, end, tookMs / Math.max(1, factor ?? 1));
 }
 
 /** A call that met a queue took that many turns of the leaf's slots. */
--- a/replay/load_pattern.ts
+++ b/replay/load_pattern.ts
@@ -44,6 +44,10 @@
   readonly kinds: ReadonlyArray<QueryKind>;
   readonly shards: number;
   readonly slots: number;
+  /** Leafs of each shard; 2 by default. */
+  readonly copies?: number;
+  /** Short slow spells, as leafs share their machines with others; none by default. */
+  readonly spells?: SlowSpells;
   /** Regions of the three that have leafs; a shard's two leafs lie in two of them. */
   readonly leafRegions: ReadonlyArray<number>;
   /** Boxes in each of the three regions that take requests. */
@@ -63,6 +67,15 @@
   readonly restart?: BoxRestart;
 }
 
+/** Slow spells of leafs: in each period a leaf is slow throughout or not at all. */
+export interface SlowSpells {
+  /** Share of the periods in which a leaf is slow, 0 to 1. */
+  readonly share: number;
+  /** Times as long that its work takes then. */
+  readonly factor: number;
+  readonly periodMs: number;
+}
+
 /** A moment at which all boxes start anew. */
 export interface BoxRestart {
   readonly atMs: number;
@@ -96,6 +109,18 @@
   },
 ];
 
+/** Searches with aims so short that a slow leaf cannot be waited for, over three leafs a shard. */
+const SHORT_SEARCHES: ReadonlyArray<QueryKind> = [
+  {
+    ...{ name: "sweep", share: 0.63, workMs: 10.7, aimMs: 98, deadlineMs: 995 },
+    ...{ leastShare: 0.95, worth: 2, priorityRank: 1 },
+  },
+  {
+    ...{ name: "quick pick", share: 0.37, workMs: 3.57, aimMs: 70, deadlineMs: 792 },
+    ...{ leastShare: 0.85, worth: 1, priorityRank: 2 },
+  },
+];
+
 const CALM: LoadPattern = {
   ...{ kinds: SEARCHES, leafRegions: [0, 1, 2], slackSharers: 9 },
   ...{ shards: 30, slots: 2, boxesInRegion: 3, perSecond: 60, lengthMs: 12_000 },
@@ -109,6 +134,14 @@
   ...{ pauseMs: 250, pauseEveryMs: 6_000, slackCalls: 430, faults: [], bursts: [] },
 };
 
+/** Three leafs a shard, one in each region, that pause shortly, have slow spells and report their pace. */
+const SHORT: LoadPattern = {
+  ...{ kinds: SHORT_SEARCHES, leafRegions: [0, 1, 2], slackSharers: 16, copies: 3 },
+  ...{ shards: 90, slots: 2, boxesInRegion: 4, perSecond: 22, lengthMs: 12_000 },
+  ...{ pauseMs: 120, pauseEveryMs: 3_000, slackCalls: 160, faults: [], bursts: [] },
+  spells: { share: 0.03, factor: 4, periodMs: 500 },
+};
+
 function faulty(...faults: ReadonlyArray<LeafFault>): LoadPattern {
   return { ...CALM, faults };
 }
@@ -136,6 +169,12 @@
     bursts: [{ factor: 2, fromMs: 5_000, untilMs: 6_500 }],
     restart: { atMs: 5_000, busyMs: 90, coldForMs: 1_500 },
   },
+  "short-calm": SHORT,
+  "short-135": { ...SHORT, shards: 135 },
+  "short-slow": {
+    ...SHORT,
+    faults: [{ kind: "slow", leafShare: 0.15, strength: 11, ...WHILE }],
+  },
   "wide-calm": WIDE,
   "wide-129": { ...WIDE, shards: 129 },
   "wide-slow": wideFaulty({ kind: "slow", leafShare: 0.15, strength: 10, ...WHILE }),
--- a/replay/mechanism.ts
+++ b/replay/mechanism.ts
@@ -16,6 +16,8 @@
   "told-queues",
   "relays",
   "hopeless-refusals",
+  "reported-pace",
+  "objective",
 ] as const;
 
 /** A mechanism that a run can go without. */
--- a/replay/replay_box.ts
+++ b/replay/replay_box.ts
@@ -177,7 +177,7 @@
   /** Picks a leaf; only near ones where another box asks. */
   choose(
     service: string,
-    { excluded, isOnlyNear = false }: ReplayChoice,
+    { excluded, isOnlyNear = false, objectiveMs }: ReplayChoice,
   ): ReturnType<typeof chooseLeaf> {
     const leafs = this.#options.leafsByService.get(service) ?? [];
     const fit = leafs.filter((leaf) => !isOnlyNear || this.#isSound(leaf));
@@ -188,7 +188,9 @@
       const isTold = !this.isNear(leaf) && !this.#options.without.has("told-queues");
       return isTold ? this.#toldQueueMs(leaf.dataCentre) : 0;
     };
-    return chooseLeaf(fit, { nowMs, waitedMs: this.waitedMs, ...seen, toldQueueMs: told });
+    const objective = this.#options.without.has("objective") ? {} : { objectiveMs };
+    const view = { nowMs, waitedMs: this.waitedMs, ...seen, ...objective, toldQueueMs: told };
+    return chooseLeaf(fit, view);
   }
 
   /** Whether a leaf lies in the box's region. */
@@ -206,7 +208,9 @@
       models.get(leafId)?.take(workMs, (end) => {
         schedule.after(wayMs, () => {
           this.whenFree(() => {
-            note(RESULTS[end.kind], { toldLoad: end.toldLoad, slots: leaf?.slots ?? 1 });
+            const { toldLoad } = end;
+            const pace = this.#options.without.has("reported-pace") ? undefined : end.paceFactor;
+            note(RESULTS[end.kind], { toldLoad, paceFactor: pace, slots: leaf?.slots ?? 1 });
             onEnd(OUTCOMES[end.kind]);
           });
         });
@@ -265,11 +269,14 @@
 export interface ReplayChoice {
   readonly excluded: ReadonlySet<string>;
   readonly isOnlyNear?: boolean;
+  /** Time within which the answer is worth most, in milliseconds. */
+  readonly objectiveMs?: number | undefined;
 }
 
 /** Load that a leaf told with an answer. */
 interface ToldLoad {
   readonly toldLoad: number;
+  readonly paceFactor: number | undefined;
   readonly slots: number;
 }
 
--- a/replay/replay_leaf.ts
+++ b/replay/replay_leaf.ts
@@ -3,8 +3,12 @@
  *
  * @module
  */
+import { fnv1a } from "../hashing/mod.js";
 import type { Schedule } from "../virtual_time/mod.js";
-import type { LeafFault } from "./load_pattern.js";
+import type { LeafFault, SlowSpells } from "./load_pattern.js";
+
+/** Values that a hash may have. */
+const HASHES = 2 ** 32;
 
 /** Calls that wait at a leaf before it refuses more. */
 const MOST_WAITING = 12;
@@ -14,6 +18,8 @@
   readonly kind: "answered" | "refused" | "lost";
   /** Calls running and waiting. */
   readonly toldLoad: number;
+  /** Times as long as usual that work takes now. */
+  readonly paceFactor: number;
 }
 
 /** What a leaf is made from. */
@@ -26,6 +32,8 @@
   readonly pausesAtMs: number;
   /** What goes wrong with this leaf. */
   readonly faults: ReadonlyArray<LeafFault>;
+  /** Its slow spells, and what tells them from those of others. */
+  readonly spells: (SlowSpells & { readonly seed: string }) | undefined;
 }
 
 interface WaitingCall {
@@ -55,13 +63,31 @@
   take(workMs: number, onEnd: (end: LeafEnd) => void): void {
     const sheds = this.#options.schedule.chance(this.#strengthOf("shed"));
     if (sheds || this.#waiting.length >= MOST_WAITING) {
-      onEnd({ kind: "refused", toldLoad: this.#load() });
+      onEnd({ kind: "refused", ...this.#told() });
       return;
     }
     this.#waiting.push({ workMs, onEnd });
     this.#runNext();
   }
 
+  #told(): Pick<LeafEnd, "paceFactor" | "toldLoad"> {
+    return { toldLoad: this.#load(), paceFactor: this.#paceFactor() };
+  }
+
+  #paceFactor(): number {
+    return Math.max(1, this.#strengthOf("slow")) * this.#spellFactor();
+  }
+
+  #spellFactor(): number {
+    const { schedule, spells } = this.#options;
+    if (spells === undefined) {
+      return 1;
+    }
+    const period = Math.floor(schedule.nowMs / spells.periodMs);
+    const draw = fnv1a(`${spells.seed} ${period}`) / HASHES;
+    return draw < spells.share ? spells.factor : 1;
+  }
+
   #load(): number {
     return this.#running + this.#waiting.length;
   }
@@ -82,11 +108,11 @@
       return;
     }
     this.#running += 1;
-    const workMs = call.workMs * Math.max(1, this.#strengthOf("slow"));
+    const workMs = call.workMs * this.#paceFactor();
     schedule.after(workMs + this.#pauseWithin(workMs), () => {
       this.#running -= 1;
       const isLost = schedule.chance(this.#strengthOf("lose"));
-      call.onEnd({ kind: isLost ? "lost" : "answered", toldLoad: this.#load() });
+      call.onEnd({ kind: isLost ? "lost" : "answered", ...this.#told() });
       this.#runNext();
     });
   }
--- a/replay/replay_query.ts
+++ b/replay/replay_query.ts
@@ -75,7 +75,8 @@
 
   chooseLeaf(service: string, excluded: ReadonlySet<string>) {
     const { box, without } = this.#options;
-    const chosen = box.choose(service, { excluded });
+    const { aimAtMs, arrivedAtMs } = this.#options.terms;
+    const chosen = box.choose(service, { excluded, objectiveMs: aimAtMs - arrivedAtMs });
     if (chosen === undefined) {
       return undefined;
     }
--- a/replay/run_replay.ts
+++ b/replay/run_replay.ts
@@ -95,17 +95,18 @@
   }
 
   #makeBoxes(): ReadonlyArray<ReadonlyArray<ReplayBox>> {
-    const { boxesInRegion, leafRegions, slackCalls, slackSharers, slots } = this.#pattern;
+    const { boxesInRegion, copies = 2, leafRegions } = this.#pattern;
+    const { slackCalls, slackSharers, slots } = this.#pattern;
     const leafsByService = new Map<string, ReadonlyArray<Leaf>>();
     const models = new Map<string, ReplayLeaf>();
     for (const [index, service] of this.#services.entries()) {
-      const leafs = [0, 1].map((copy) => {
+      const leafs = Array.from({ length: copies }, (_, copy) => {
         const region = leafRegions[(index + copy) % leafRegions.length] ?? 0;
         return leafOf(service, { copy, region, slots });
       });
       leafsByService.set(service, leafs);
       for (const { leafId } of leafs) {
-        models.set(leafId, this.#makeLeaf());
+        models.set(leafId, this.#makeLeaf(leafId));
       }
     }
     return Array.from({ length: REGIONS }, (_, region) => {
@@ -119,13 +120,14 @@
     });
   }
 
-  #makeLeaf(): ReplayLeaf {
-    const { faults, pauseEveryMs, pauseMs, slots } = this.#pattern;
+  #makeLeaf(leafId: string): ReplayLeaf {
+    const { faults, pauseEveryMs, pauseMs, slots, spells } = this.#pattern;
     const schedule = this.#schedule;
     const struck = faults.filter(({ leafShare }) => this.#leafDraws.chance(leafShare));
     const pausesAtMs = this.#leafDraws.int(0, pauseEveryMs);
     return new ReplayLeaf({
       ...{ schedule, slots, pauseMs, pauseEveryMs, pausesAtMs, faults: struck },
+      spells: spells && { ...spells, seed: leafId },
     });
   }
 
--- a/replay/run_replay_test.ts
+++ b/replay/run_replay_test.ts
@@ -67,3 +67,15 @@
   const without = worthOf("wide-shed", "hopeless-refusals");
   t.ok(withRefusals > without + 0.05, `${withRefusals} with, ${without} without`);
 });
+
+t.test("a leaf that would miss the objective is left for one in another region", async (t) => {
+  const byObjective = worthOf("short-slow");
+  const byDistance = worthOf("short-slow", "objective");
+  t.ok(byObjective > byDistance + 0.05, `${byObjective} by objective, ${byDistance} by distance`);
+});
+
+t.test("a leaf that reports to be slow is left at its first report", async (t) => {
+  const byReport = worthOf("short-slow");
+  const byMeans = worthOf("short-slow", "reported-pace");
+  t.ok(byReport > byMeans, `${byReport} by report, ${byMeans} by own means`);
+});
