Tell operators which data centres are emptied and which leafs are cold

Change: a box's report names the data centres to whose leafs it sends nothing, leafs there stand as evacuated, cold ones as warming up for as long as the box takes them to be; rackvale boxes says on how many boxes each evacuation is in force.

--- a/box/box_report.ts
+++ b/box/box_report.ts
@@ -6,7 +6,7 @@
  */
 
 import type { BoxKnowledge } from "../knowledge/mod.js";
-import type { Leaf, LeafCondition, LeafTable } from "../leafs/mod.js";
+import type { Leaf, LeafCondition } from "../leafs/mod.js";
 import type { Member, MemberState } from "../model/mod.js";
 import { type CrashRecord, type ToldCrashes, tellRecord } from "../quarantine/mod.js";
 
@@ -17,7 +17,7 @@
 export const LIFT_PATH = "/peer/v1/lift/";
 
 /** How a leaf is seen by a box. */
-export type LeafStanding = "ready" | "warming up" | "draining" | "lapsed" | "gone";
+export type LeafStanding = "ready" | "warming up" | "evacuated" | "draining" | "lapsed" | "gone";
 
 /** One leaf as a box believes in it. */
 export interface LeafReport {
@@ -67,6 +67,8 @@
   readonly leafs: ReadonlyArray<LeafReport>;
   /** Extra calls that each service's budget allows at this moment. */
   readonly extraCallsLeft: Readonly<Record<string, number>>;
+  /** Data centres to whose leafs nothing more is sent. */
+  readonly evacuated: ReadonlyArray<string>;
   /** Queries under which leafs were lost, the latest change last. */
   readonly queries: ReadonlyArray<ToldCrashes>;
 }
@@ -77,8 +79,9 @@
   readonly phase: string;
   readonly knowledge: Pick<
     BoxKnowledge,
-    "adopted" | "hearsStore" | "heardAtMs" | "isWatcher" | "leafs" | "leafsRevision"
+    "adopted" | "evacuated" | "hearsStore" | "heardAtMs" | "isWatcher" | "leafs" | "leafsRevision"
   >;
+  readonly isCold: (leafId: string) => boolean;
   readonly condition: (leafId: string) => LeafCondition | undefined;
   readonly runningCount: number;
   readonly members: ReadonlyArray<Member>;
@@ -109,6 +112,7 @@
     members: members.map(reportMember),
     leafs: reportLeafs(reported),
     extraCallsLeft: Object.fromEntries(extraCallsLeft),
+    evacuated: [...knowledge.evacuated].toSorted(),
     queries: crashRecords.map((record) => tellRecord(record, nowMs)),
   };
 }
@@ -123,14 +127,15 @@
     .toSorted((a, b) => (`${a.service} ${a.leafId}` < `${b.service} ${b.leafId}` ? -1 : 1));
 }
 
-function reportLeaf(leaf: Leaf, { condition, knowledge, nowMs }: ReportedBox): LeafReport {
+function reportLeaf(leaf: Leaf, reported: ReportedBox): LeafReport {
+  const { condition, nowMs } = reported;
   const { leafId, service, dataCentre } = leaf;
   const seen = condition(leafId);
   return {
     leafId,
     service,
     dataCentre,
-    standing: standingOf(leaf, knowledge.leafs, seen),
+    standing: standingOf(leaf, reported, seen),
     meanMs: Math.round(seen?.meanMs ?? 0),
     openCalls: seen?.openCalls.length ?? 0,
     failuresInRow: seen?.failuresInRow ?? 0,
@@ -139,8 +144,8 @@
 }
 
 function standingOf(
-  { leafId, draining, warmingForMs }: Leaf,
-  { dropAtMs }: LeafTable,
+  { dataCentre, draining, leafId }: Leaf,
+  { isCold, knowledge }: Pick<ReportedBox, "isCold" | "knowledge">,
   condition: LeafCondition | undefined,
 ): LeafStanding {
   if (condition?.gone === true) {
@@ -149,8 +154,11 @@
   if (draining) {
     return "draining";
   }
-  if (dropAtMs.has(leafId)) {
+  if (knowledge.leafs.dropAtMs.has(leafId)) {
     return "lapsed";
   }
-  return warmingForMs > 0 ? "warming up" : "ready";
+  if (knowledge.evacuated.has(dataCentre)) {
+    return "evacuated";
+  }
+  return isCold(leafId) ? "warming up" : "ready";
 }
--- a/box/box_shell.ts
+++ b/box/box_shell.ts
@@ -296,6 +296,7 @@
       phase: this.#life.phase,
       knowledge: this.#knowledge,
       condition: (leafId) => this.#calls.condition(leafId),
+      isCold: (leafId) => this.#cold.isCold(leafId),
       runningCount: this.#runner.runningCount,
       members: this.#fleet.members(),
       extraCallsLeft: this.#budgets.left(),
--- a/cli/_fleet_summary.ts
+++ b/cli/_fleet_summary.ts
@@ -85,6 +85,30 @@
   });
 }
 
+/** A data centre that operators have emptied, and how far that is in force. */
+export interface EvacuationSummary {
+  readonly dataCentre: string;
+  /** Boxes that send nothing there. */
+  readonly boxes: number;
+  /** Boxes that answered. */
+  readonly of: number;
+}
+
+/**
+ * Tells on how many boxes each evacuation is in force: while it is on some only, the others have not heard yet.
+ *
+ * @param asked - The boxes.
+ * @returns The data centres that any box has as evacuated, in the order of their names.
+ */
+export function evacuationsOf(asked: ReadonlyArray<AskedBox>): ReadonlyArray<EvacuationSummary> {
+  const reports = asked.flatMap(({ report }) => report ?? []);
+  const dataCentres = [...new Set(reports.flatMap(({ evacuated }) => evacuated))].toSorted();
+  return dataCentres.map((dataCentre) => {
+    const boxes = reports.filter(({ evacuated }) => evacuated.includes(dataCentre)).length;
+    return { dataCentre, boxes, of: reports.length };
+  });
+}
+
 /**
  * Lists the queries that boxes suspect or do not send any more, each as the box tells it that heard last.
  *
--- a/cli/_fleet_summary_test.ts
+++ b/cli/_fleet_summary_test.ts
@@ -1,6 +1,12 @@
 import t from "tap";
 import type { BoxReport } from "../box/box_report.js";
-import { type AskedBox, differencesOf, heldQueriesOf, summariseFleet } from "./_fleet_summary.js";
+import {
+  type AskedBox,
+  differencesOf,
+  evacuationsOf,
+  heldQueriesOf,
+  summariseFleet,
+} from "./_fleet_summary.js";
 
 function reportOf(box: string, fields: Partial<BoxReport> = {}): BoxReport {
   const configuration = { version: 12, source: "peer", inForceForMs: 5_000 } as const;
@@ -8,6 +14,7 @@
     ...{ box, phase: "ready", configuration, leafsRevision: 40, isWatcher: false },
     ...{ hearsStore: true, knownAgoMs: 800, running: 0, members: [], leafs: [] },
     extraCallsLeft: { search: 4 },
+    evacuated: [],
     queries: [],
     ...fields,
   };
@@ -35,6 +42,19 @@
   ]);
 });
 
+t.test("evacuationsOf() tells how many boxes have an evacuation in force", async (t) => {
+  const boxes = [
+    asked("a", "hall-a", { evacuated: ["hall-b"] }),
+    asked("b", "hall-a", { evacuated: ["hall-b", "hall-c"] }),
+    asked("c", "hall-a"),
+    { box: "d", dataCentre: "hall-a", report: undefined },
+  ];
+  t.same(evacuationsOf(boxes), [
+    { dataCentre: "hall-b", boxes: 2, of: 3 },
+    { dataCentre: "hall-c", boxes: 1, of: 3 },
+  ]);
+});
+
 t.test("differencesOf() names each way in which a box differs", async (t) => {
   t.same(differencesOf(asked("a", "hall-a"), 12), []);
   t.same(differencesOf(asked("a", "hall-a", { ...BEHIND, phase: "starting" }), 12), [
--- a/cli/boxes_command.ts
+++ b/cli/boxes_command.ts
@@ -9,6 +9,7 @@
 import {
   type AskedBox,
   differencesOf,
+  evacuationsOf,
   heldQueriesOf,
   LOW_BUDGET,
   newestVersionOf,
@@ -46,6 +47,7 @@
   const lines = [
     ...summary,
     ...shown.flatMap((each) => describe(each, { withLeafs })),
+    ...describeEvacuations(chosen),
     ...heldQueriesOf(chosen).map(describeQuery),
   ];
   return { exitCode, lines, data: chosen };
@@ -79,6 +81,8 @@
     return [`${box} cannot be reached`];
   }
   const { configuration, extraCallsLeft, isWatcher, knownAgoMs, leafs, phase } = report;
+  const cold = leafs.filter(({ standing }) => standing === "warming up").length;
+  const warming = cold === 0 ? "" : `, ${cold} cold`;
   const inForce =
     configuration === undefined
       ? "no configuration"
@@ -87,10 +91,16 @@
   const ready = leafs.filter(({ standing }) => standing === "ready").length;
   const low = Object.entries(extraCallsLeft).filter(([, calls]) => calls < LOW_BUDGET);
   const budgets = low.length === 0 ? "" : `, budgets spent: ${low.map(([name]) => name).join(" ")}`;
-  const head = `${box} is ${phase}, ${inForce}, ${way} (${seconds(knownAgoMs)} ago), ${ready} of ${leafs.length} leafs ready${budgets}`;
+  const head = `${box} is ${phase}, ${inForce}, ${way} (${seconds(knownAgoMs)} ago), ${ready} of ${leafs.length} leafs ready${warming}${budgets}`;
   return withLeafs ? [head, ...leafs.map(describeLeaf)] : [head];
 }
 
+function describeEvacuations(asked: ReadonlyArray<AskedBox>): ReadonlyArray<string> {
+  return evacuationsOf(asked).map(({ boxes: count, dataCentre, of }) => {
+    return `${dataCentre} is evacuated: ${count} of ${of} boxes send nothing there`;
+  });
+}
+
 function describeLeaf(leaf: LeafReport): string {
   const { avoidedForMs, dataCentre, failuresInRow, leafId, meanMs, openCalls, service, standing } =
     leaf;
