--- a/leafs/choose_leaf.ts
+++ b/leafs/choose_leaf.ts
@@ -72,7 +72,7 @@
 const FULL_FACTOR = 2;
 
 /** Age at which a load that a leaf told counts for nothing, in milliseconds. */
-const TOLD_LOAD_MS = 300;
+const REPORTED_LOAD_MS = 300;
 
 /**
  * A leaf is taken to pause when it has answered nothing for this many times its mean, and at least the
@@ -163,9 +163,9 @@
 }
 
 /** Calls at a leaf: those of this box, or what it told, which counts for less the older it is. */
-function loadOf({ openCalls, toldAtMs, toldLoad }: LeafCondition, nowMs: number): number {
-  const toldShare = Math.max(0, 1 - (nowMs - toldAtMs) / TOLD_LOAD_MS);
-  return Math.max(openCalls.length, toldLoad * toldShare);
+function loadOf({ openCalls, reportedAtMs, reportedLoad }: LeafCondition, nowMs: number): number {
+  const toldShare = Math.max(0, 1 - (nowMs - reportedAtMs) / REPORTED_LOAD_MS);
+  return Math.max(openCalls.length, reportedLoad * toldShare);
 }
 
 /**
--- a/leafs/leaf_condition.ts
+++ b/leafs/leaf_condition.ts
@@ -30,9 +30,9 @@
   /** When it last answered, by the clock that stands still while this box is busy, in milliseconds. */
   readonly heardAtWaitedMs: number;
   /** Requests running and waiting at the leaf from all boxes, as it last told. */
-  readonly toldLoad: number;
+  readonly reportedLoad: number;
   /** When it told that. */
-  readonly toldAtMs: number;
+  readonly reportedAtMs: number;
   /** How long work takes there, as it last reported. */
   readonly pace: LeafPace;
   /** Share of the latest calls, 0 to 1, that the leaf refused or that came to nothing. */
@@ -53,8 +53,8 @@
   workMs: 0,
   openCalls: [],
   heardAtWaitedMs: 0,
-  toldLoad: 0,
-  toldAtMs: 0,
+  reportedLoad: 0,
+  reportedAtMs: 0,
   pace: USUAL_PACE,
   lostShare: 0,
   lostAtMs: 0,
@@ -103,7 +103,7 @@
   readonly waitedMs: number;
   readonly result: "answered" | "failed" | "full" | "gone" | "abandoned";
   /** Load that the leaf told with its answer. */
-  readonly toldLoad?: number | undefined;
+  readonly reportedLoad?: number | undefined;
   /** Times as long as usual that work takes there, as it reported with its answer. */
   readonly paceFactor?: number | undefined;
   /** Requests that the leaf runs at the same time; needed to make something of its load. */
@@ -121,7 +121,10 @@
   const call = condition.openCalls.find(({ callId }) => callId === end.callId);
   const tookMs = call === undefined ? 0 : end.waitedMs - call.sentAtWaitedMs;
   const openCalls = condition.openCalls.filter(({ callId }) => callId !== end.callId);
-  const told = end.toldLoad === undefined ? {} : { toldLoad: end.toldLoad, toldAtMs: end.nowMs };
+  const told =
+    end.reportedLoad === undefined
+      ? {}
+      : { reportedLoad: end.reportedLoad, reportedAtMs: end.nowMs };
   const { paceFactor: factor, nowMs } = end;
   const pace = factor === undefined ? condition.pace : notePace(condition.pace, { factor, nowMs });
   const ended = { ...condition, openCalls, pace, ...told };
@@ -129,11 +132,11 @@
 }
 
 /** A call that met a queue took that many turns of the leaf's slots. */
-function noteWork(workMs: number, { toldLoad, slots }: CallEnd, tookMs: number): number {
-  if (toldLoad === undefined || slots === undefined) {
+function noteWork(workMs: number, { reportedLoad, slots }: CallEnd, tookMs: number): number {
+  if (reportedLoad === undefined || slots === undefined) {
     return workMs;
   }
-  const turns = Math.max(1, (toldLoad + 1) / slots);
+  const turns = Math.max(1, (reportedLoad + 1) / slots);
   return updateMean(workMs, tookMs / turns);
 }
 
--- a/replay/replay_box.ts
+++ b/replay/replay_box.ts
@@ -208,9 +208,9 @@
       models.get(leafId)?.take(workMs, (end) => {
         schedule.after(wayMs, () => {
           this.whenFree(() => {
-            const { toldLoad } = end;
+            const { reportedLoad } = end;
             const pace = this.#options.without.has("reported-pace") ? undefined : end.paceFactor;
-            note(RESULTS[end.kind], { toldLoad, paceFactor: pace, slots: leaf?.slots ?? 1 });
+            note(RESULTS[end.kind], { reportedLoad, paceFactor: pace, slots: leaf?.slots ?? 1 });
             onEnd(OUTCOMES[end.kind]);
           });
         });
@@ -219,7 +219,7 @@
   }
 
   /** Notes a call to a leaf, also one that another box makes; returns what notes its end. */
-  noteSent(leafId: string): (result: CallEnd["result"], told?: ToldLoad) => void {
+  noteSent(leafId: string): (result: CallEnd["result"], told?: ReportedLoad) => void {
     const callId = this.#nextCallId;
     this.#nextCallId += 1;
     const sent = noteSent(this.#conditionOf(leafId), { callId, waitedMs: this.waitedMs });
@@ -274,8 +274,8 @@
 }
 
 /** Load that a leaf told with an answer. */
-interface ToldLoad {
-  readonly toldLoad: number;
+interface ReportedLoad {
+  readonly reportedLoad: number;
   readonly paceFactor: number | undefined;
   readonly slots: number;
 }
--- a/replay/replay_leaf.ts
+++ b/replay/replay_leaf.ts
@@ -17,7 +17,7 @@
 export interface LeafEnd {
   readonly kind: "answered" | "refused" | "lost";
   /** Calls running and waiting. */
-  readonly toldLoad: number;
+  readonly reportedLoad: number;
   /** Times as long as usual that work takes now. */
   readonly paceFactor: number;
 }
@@ -70,8 +70,8 @@
     this.#runNext();
   }
 
-  #told(): Pick<LeafEnd, "paceFactor" | "toldLoad"> {
-    return { toldLoad: this.#load(), paceFactor: this.#paceFactor() };
+  #told(): Pick<LeafEnd, "paceFactor" | "reportedLoad"> {
+    return { reportedLoad: this.#load(), paceFactor: this.#paceFactor() };
   }
 
   #paceFactor(): number {
