--- a/box/box_report.ts
+++ b/box/box_report.ts
@@ -8,7 +8,7 @@
 import type { BoxKnowledge } from "../knowledge/mod.js";
 import type { Leaf, LeafCondition } from "../leafs/mod.js";
 import type { Member, MemberState } from "../model/mod.js";
-import { type CrashRecord, type ToldCrashes, tellRecord } from "../quarantine/mod.js";
+import { type CrashRecord, type ReportedCrashes, tellRecord } from "../quarantine/mod.js";
 
 /** Path at which a box tells it, on its peers' port. */
 export const REPORT_PATH = "/peer/v1/report";
@@ -70,7 +70,7 @@
   /** Data centres to whose leafs nothing more is sent. */
   readonly evacuated: ReadonlyArray<string>;
   /** Queries under which leafs were lost, the latest change last. */
-  readonly queries: ReadonlyArray<ToldCrashes>;
+  readonly queries: ReadonlyArray<ReportedCrashes>;
 }
 
 /** What a report is made from. */
--- a/cli/_fleet_summary.ts
+++ b/cli/_fleet_summary.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { BoxReport } from "../box/box_report.js";
-import type { ToldCrashes } from "../quarantine/mod.js";
+import type { ReportedCrashes } from "../quarantine/mod.js";
 
 /** A box that was asked. */
 export interface AskedBox {
@@ -115,8 +115,8 @@
  * @param asked - The boxes.
  * @returns The queries, the latest change first.
  */
-export function heldQueriesOf(asked: ReadonlyArray<AskedBox>): ReadonlyArray<ToldCrashes> {
-  const latest = new Map<string, ToldCrashes>();
+export function heldQueriesOf(asked: ReadonlyArray<AskedBox>): ReadonlyArray<ReportedCrashes> {
+  const latest = new Map<string, ReportedCrashes>();
   for (const query of asked.flatMap(({ report }) => report?.queries ?? [])) {
     const known = latest.get(query.fingerprint);
     if (known === undefined || query.changedAgoMs < known.changedAgoMs) {
--- a/cli/boxes_command.ts
+++ b/cli/boxes_command.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { type BoxReport, type LeafReport, LIFT_PATH, REPORT_PATH } from "../box/box_report.js";
-import type { ToldCrashes } from "../quarantine/mod.js";
+import type { ReportedCrashes } from "../quarantine/mod.js";
 import { callEntry } from "./_entry_http.js";
 import {
   type AskedBox,
@@ -109,7 +109,7 @@
   return `  ${service} ${leafId} in ${dataCentre}: ${standing}, mean ${meanMs} ms, ${openCalls} open${avoided}`;
 }
 
-function describeQuery(query: ToldCrashes): string {
+function describeQuery(query: ReportedCrashes): string {
   const { changedAgoMs, fingerprint, lostLeafs, lostTrials, standing } = query;
   const lost = `${lostLeafs} leafs lost under it, ${lostTrials} of them asked alone`;
   return `query ${fingerprint} is ${standing}: ${lost}, last ${seconds(changedAgoMs)} ago`;
--- a/fleet/fleet_link.ts
+++ b/fleet/fleet_link.ts
@@ -16,7 +16,7 @@
   takeRiders,
 } from "../membership/mod.js";
 import type { EvacuationNews, Member, MemberState } from "../model/mod.js";
-import type { ToldCrashes } from "../quarantine/mod.js";
+import type { ReportedCrashes } from "../quarantine/mod.js";
 import {
   decodeFleetMessage,
   encodeFleetMessage,
@@ -49,9 +49,9 @@
   readonly nowMs: () => number;
   readonly progress: () => Progress;
   /** Gives queries under which leafs were lost, no more than go into a datagram. */
-  readonly crashes: () => ReadonlyArray<ToldCrashes>;
+  readonly crashes: () => ReadonlyArray<ReportedCrashes>;
   /** Told of such queries by another box. */
-  readonly onCrashes: (told: ReadonlyArray<ToldCrashes>, sender: Member | undefined) => void;
+  readonly onCrashes: (told: ReadonlyArray<ReportedCrashes>, sender: Member | undefined) => void;
   /** Gives the data centres that are emptied; nothing where none ever was. */
   readonly evacuations: () => EvacuationNews | undefined;
   /** Told of these by another box. */
--- a/fleet/fleet_messages.ts
+++ b/fleet/fleet_messages.ts
@@ -7,7 +7,7 @@
  */
 import { deflateRawSync, inflateRawSync } from "node:zlib";
 import type { EvacuationNews, Member } from "../model/mod.js";
-import type { Standing, ToldCrashes } from "../quarantine/mod.js";
+import type { ReportedCrashes, Standing } from "../quarantine/mod.js";
 import {
   type CrashFields,
   type FleetMessageKind,
@@ -34,7 +34,7 @@
   /** The sender first, then others that it tells of. */
   readonly members: ReadonlyArray<Member>;
   /** Queries under which leafs were lost. */
-  readonly crashes: ReadonlyArray<ToldCrashes>;
+  readonly crashes: ReadonlyArray<ReportedCrashes>;
   /** Data centres that are emptied; nothing where none ever was. */
   readonly evacuations?: EvacuationNews | undefined;
 }
@@ -93,14 +93,14 @@
   }
 }
 
-function toCrashFields(told: ToldCrashes): CrashFields {
+function toCrashFields(told: ReportedCrashes): CrashFields {
   const { fingerprint, standing, lostLeafs, lostTrials, suspectedAgoMs, changedAgoMs } = told;
   const agesMs = [Math.round(suspectedAgoMs), Math.round(changedAgoMs)] as const;
   return [fingerprint, standing, lostLeafs, lostTrials, ...agesMs];
 }
 
 /** A standing that this version does not know is passed over. */
-function fromCrashFields(fields: CrashFields): ReadonlyArray<ToldCrashes> {
+function fromCrashFields(fields: CrashFields): ReadonlyArray<ReportedCrashes> {
   const [fingerprint, standing, lostLeafs, lostTrials, suspectedAgoMs, changedAgoMs] = fields;
   return isStanding(standing)
     ? [{ fingerprint, standing, lostLeafs, lostTrials, suspectedAgoMs, changedAgoMs }]
--- a/knowledge/quarantine_archive.ts
+++ b/knowledge/quarantine_archive.ts
@@ -10,7 +10,7 @@
   QUARANTINE_KIND,
   type StoreClient,
 } from "../platform/mod.js";
-import { type CrashRecord, KEPT_MS, type ToldCrashes, tellRecord } from "../quarantine/mod.js";
+import { type CrashRecord, KEPT_MS, type ReportedCrashes, tellRecord } from "../quarantine/mod.js";
 import type { BoxTelemetry } from "../telemetry/mod.js";
 
 /** Time after the start in which a box learns of the others, in milliseconds. */
@@ -29,7 +29,7 @@
   /** The time of day, in milliseconds since the epoch. */
   readonly nowEpochMs: () => number;
   /** Told what was found. */
-  readonly onFound: (told: ReadonlyArray<ToldCrashes>) => void;
+  readonly onFound: (told: ReadonlyArray<ReportedCrashes>) => void;
   readonly telemetry: Pick<BoxTelemetry, "event">;
 }
 
@@ -124,7 +124,7 @@
     return removed.isErr() && removed.error.kind !== "notFound" ? removed.error.message : undefined;
   }
 
-  async #removeOld(told: ReadonlyArray<ToldCrashes>): Promise<void> {
+  async #removeOld(told: ReadonlyArray<ReportedCrashes>): Promise<void> {
     const old = told.filter(({ changedAgoMs }) => changedAgoMs >= KEPT_MS.quarantined);
     for (const { fingerprint } of old) {
       await this.#remove(fingerprint);
--- a/knowledge/quarantine_archive_test.ts
+++ b/knowledge/quarantine_archive_test.ts
@@ -1,7 +1,7 @@
 import { err, ok } from "neverthrow";
 import t from "tap";
 import type { StoreError, StoreObject } from "../platform/mod.js";
-import type { CrashRecord, ToldCrashes } from "../quarantine/mod.js";
+import type { CrashRecord, ReportedCrashes } from "../quarantine/mod.js";
 import { QuarantineArchive } from "./quarantine_archive.js";
 
 const AWAY: StoreError = { kind: "unavailable", message: "Cannot reach the store: refused" };
@@ -19,7 +19,7 @@
 /** An archive before a store in memory that does not answer its first calls. */
 function setUp({ failures = 0, objects = [] as ReadonlyArray<StoreObject> } = {}) {
   const kept = new Map(objects.map((object) => [object.name, object.spec]));
-  const found: Array<ToldCrashes> = [];
+  const found: Array<ReportedCrashes> = [];
   const lines: Array<string> = [];
   let left = failures;
   const isAway = (): boolean => {
--- a/quarantine/crash_record.ts
+++ b/quarantine/crash_record.ts
@@ -91,7 +91,7 @@
 }
 
 /** What another box, or the store, tells of a query; moments as ages, as clocks differ. */
-export interface ToldCrashes
+export interface ReportedCrashes
   extends Pick<CrashRecord, "fingerprint" | "standing" | "lostLeafs" | "lostTrials"> {
   /** Time since the first loss, in milliseconds. */
   readonly suspectedAgoMs: number;
@@ -109,7 +109,7 @@
 export function tellRecord(
   { fingerprint, standing, lostLeafs, lostTrials, suspectedAtMs, changedAtMs }: CrashRecord,
   nowMs: number,
-): ToldCrashes {
+): ReportedCrashes {
   const seen = { fingerprint, standing, lostLeafs, lostTrials };
   return { ...seen, suspectedAgoMs: nowMs - suspectedAtMs, changedAgoMs: nowMs - changedAtMs };
 }
@@ -124,7 +124,7 @@
  */
 export function mergeTold(
   own: CrashRecord | undefined,
-  { suspectedAgoMs, changedAgoMs, ...rest }: ToldCrashes,
+  { suspectedAgoMs, changedAgoMs, ...rest }: ReportedCrashes,
   nowMs: number,
 ): CrashRecord {
   const suspectedAtMs = nowMs - suspectedAgoMs;
--- a/quarantine/quarantine.ts
+++ b/quarantine/quarantine.ts
@@ -16,7 +16,7 @@
   LEAST_LOST_LEAFS,
   mergeTold,
   noteLostLeaf,
-  type ToldCrashes,
+  type ReportedCrashes,
   tellRecord,
 } from "./crash_record.js";
 import { RecentAnswers } from "./recent_answers.js";
@@ -207,7 +207,7 @@
    * @param told - Queries under which leafs were lost.
    * @returns Whether any of it was new.
    */
-  hear(told: ReadonlyArray<ToldCrashes>): boolean {
+  hear(told: ReadonlyArray<ReportedCrashes>): boolean {
     const nowMs = this.#options.nowMs();
     return told.filter((each) => this.#hearOne(each, nowMs)).length > 0;
   }
@@ -228,7 +228,7 @@
   }
 
   /** A query that was answered here of late is cleared: the other box could not know of it. */
-  #hearOne(told: ToldCrashes, nowMs: number): boolean {
+  #hearOne(told: ReportedCrashes, nowMs: number): boolean {
     const own = this.#records.get(told.fingerprint);
     const merged = mergeTold(own, told, nowMs);
     const isKept = nowMs - merged.changedAtMs < KEPT_MS[merged.standing];
@@ -251,7 +251,7 @@
    *   by chance, so that each is told in the end.
    * @returns What they are told.
    */
-  tell(most: number): ReadonlyArray<ToldCrashes> {
+  tell(most: number): ReadonlyArray<ReportedCrashes> {
     if (this.#records.size === 0) {
       return [];
     }
