--- a/box/box_report.ts
+++ b/box/box_report.ts
@@ -59,7 +59,7 @@
   readonly leafsRevision: number;
   /** Whether it watches the store itself. */
   readonly isWatcher: boolean;
-  readonly hearsStore: boolean;
+  readonly isStoreReachable: boolean;
   /** Time since it last heard news of the store, in milliseconds. */
   readonly knownAgoMs: number;
   readonly running: number;
@@ -79,7 +79,13 @@
   readonly phase: string;
   readonly knowledge: Pick<
     BoxKnowledge,
-    "adopted" | "evacuated" | "hearsStore" | "heardAtMs" | "isWatcher" | "leafs" | "leafsRevision"
+    | "adopted"
+    | "evacuated"
+    | "isStoreReachable"
+    | "heardAtMs"
+    | "isWatcher"
+    | "leafs"
+    | "leafsRevision"
   >;
   readonly isCold: (leafId: string) => boolean;
   readonly condition: (leafId: string) => LeafCondition | undefined;
@@ -99,14 +105,14 @@
 export function reportBox(reported: ReportedBox): BoxReport {
   const { box, crashRecords, extraCallsLeft, knowledge, members, nowMs, phase, runningCount } =
     reported;
-  const { adopted, hearsStore, heardAtMs, isWatcher, leafsRevision } = knowledge;
+  const { adopted, isStoreReachable, heardAtMs, isWatcher, leafsRevision } = knowledge;
   const configuration = adopted && {
     version: adopted.version,
     source: adopted.source,
     inForceForMs: Math.round(nowMs - adopted.atMs),
   };
   return {
-    ...{ box, phase, configuration, leafsRevision, isWatcher, hearsStore },
+    ...{ box, phase, configuration, leafsRevision, isWatcher, isStoreReachable },
     knownAgoMs: Math.round(nowMs - heardAtMs),
     running: runningCount,
     members: members.map(reportMember),
--- a/box/request_intake.ts
+++ b/box/request_intake.ts
@@ -52,7 +52,7 @@
     if (routes === undefined) {
       this.#options.telemetry.requestLine("request: not run, no configuration yet", {
         requestId: arrived.terms.requestId,
-        hearsStore: this.#options.knowledge.hearsStore,
+        isStoreReachable: this.#options.knowledge.isStoreReachable,
       });
       answer({
         kind: "notRun",
--- a/cli/_fleet_summary.ts
+++ b/cli/_fleet_summary.ts
@@ -29,7 +29,8 @@
   {
     "not ready": ({ phase }) => phase !== "ready",
     behind: ({ configuration }, newest) => (configuration?.version ?? 0) < newest,
-    "cut from the store": ({ hearsStore, knownAgoMs }) => !hearsStore && knownAgoMs > OLD_NEWS_MS,
+    "cut from the store": ({ isStoreReachable, knownAgoMs }) =>
+      !isStoreReachable && knownAgoMs > OLD_NEWS_MS,
     "budgets spent": ({ extraCallsLeft }) => {
       return Object.values(extraCallsLeft).some((calls) => calls < LOW_BUDGET);
     },
--- a/cli/_fleet_summary_test.ts
+++ b/cli/_fleet_summary_test.ts
@@ -12,7 +12,7 @@
   const configuration = { version: 12, source: "peer", inForceForMs: 5_000 } as const;
   return {
     ...{ box, phase: "ready", configuration, leafsRevision: 40, isWatcher: false },
-    ...{ hearsStore: true, knownAgoMs: 800, running: 0, members: [], leafs: [] },
+    ...{ isStoreReachable: true, knownAgoMs: 800, running: 0, members: [], leafs: [] },
     extraCallsLeft: { search: 4 },
     evacuated: [],
     queries: [],
@@ -33,7 +33,7 @@
     asked("a-61", "hall-a", { phase: "finishing" }),
     ...Array.from({ length: 30 }, (_, index) => asked(`b-${index}`, "hall-b")),
     { box: "b-30", dataCentre: "hall-b", report: undefined },
-    asked("b-31", "hall-b", { hearsStore: false, knownAgoMs: 60_000 }),
+    asked("b-31", "hall-b", { isStoreReachable: false, knownAgoMs: 60_000 }),
     asked("b-32", "hall-b", { extraCallsLeft: { search: 0.2 } }),
   ];
   t.same(summariseFleet(boxes), [
--- a/knowledge/box_knowledge.ts
+++ b/knowledge/box_knowledge.ts
@@ -251,7 +251,7 @@
   }
 
   /** Whether the store can be heard. */
-  get hearsStore(): boolean {
+  get isStoreReachable(): boolean {
     return this.#health.isHeard;
   }
 
@@ -262,7 +262,7 @@
 
   /** Drops the leafs whose entry did not come back in time. */
   dropOverdue(): void {
-    this.#leafs.dropOverdue({ hearsStore: this.hearsStore });
+    this.#leafs.dropOverdue({ isStoreReachable: this.isStoreReachable });
     this.#evacuations.dropOverdue();
   }
 
--- a/knowledge/leaf_registry.ts
+++ b/knowledge/leaf_registry.ts
@@ -124,8 +124,8 @@
    *
    * @param options - Whether this box hears the store.
    */
-  dropOverdue({ hearsStore }: { readonly hearsStore: boolean }): void {
-    const mayDrop = (leafId: string): boolean => hearsStore || this.#toldLapsed.has(leafId);
+  dropOverdue({ isStoreReachable }: { readonly isStoreReachable: boolean }): void {
+    const mayDrop = (leafId: string): boolean => isStoreReachable || this.#toldLapsed.has(leafId);
     const kept = dropOverdueLeafs(this.#table, { nowMs: this.#options.nowMs(), mayDrop });
     if (kept !== this.#table) {
       this.#set(kept, this.#revision);
--- a/knowledge/leaf_registry_test.ts
+++ b/knowledge/leaf_registry_test.ts
@@ -62,10 +62,10 @@
     registry.takeList({ objects: [entry("a", 5), entry("b", 6)], revision: 10 });
     const leafs = [...registry.table.byId.values()];
     registry.takeShared({ leafs, lapsed: [{ leafId: "a", leftMs: 500 }], leafsRevision: 20 });
-    registry.dropOverdue({ hearsStore: false });
+    registry.dropOverdue({ isStoreReachable: false });
     t.ok(registry.table.byId.has("a"), "it may come back yet");
     nowMs = 600;
-    registry.dropOverdue({ hearsStore: false });
+    registry.dropOverdue({ isStoreReachable: false });
     t.same([...registry.table.byId.keys()], ["b"]);
   },
 );
@@ -76,8 +76,8 @@
   registry.takeList({ objects: [entry("a", 5), entry("b", 6)], revision: 10 });
   registry.takeList({ objects: [entry("b", 6)], revision: 11 });
   nowMs = 9_000;
-  registry.dropOverdue({ hearsStore: false });
+  registry.dropOverdue({ isStoreReachable: false });
   t.ok(registry.table.byId.has("a"));
-  registry.dropOverdue({ hearsStore: true });
+  registry.dropOverdue({ isStoreReachable: true });
   t.notOk(registry.table.byId.has("a"));
 });
--- a/knowledge/peer_catch_up.ts
+++ b/knowledge/peer_catch_up.ts
@@ -23,7 +23,10 @@
 export interface PeerCatchUpOptions {
   /** Name of this box. */
   readonly box: string;
-  readonly knowledge: Pick<BoxKnowledge, "hearsStore" | "isWatcher" | "progress" | "takeOver">;
+  readonly knowledge: Pick<
+    BoxKnowledge,
+    "isStoreReachable" | "isWatcher" | "progress" | "takeOver"
+  >;
   /** Tells whether a box is in this one's region. */
   readonly isNear: (member: Member) => boolean;
   /**
@@ -65,7 +68,7 @@
     }
     this.#fetching = true;
     // A store that is lost tells nothing, and waiting for it would cost a fifth of the time that news has.
-    const isStoreExpected = knowledge.isWatcher && knowledge.hearsStore;
+    const isStoreExpected = knowledge.isWatcher && knowledge.isStoreReachable;
     const isExpected = isStoreExpected || !this.#options.isNear(member);
     setTimeout(
       () => {
--- a/knowledge/peer_catch_up_test.ts
+++ b/knowledge/peer_catch_up_test.ts
@@ -23,20 +23,20 @@
 interface Hearer {
   readonly isNear: boolean;
   readonly isWatcher?: boolean;
-  readonly hearsStore?: boolean;
+  readonly isStoreReachable?: boolean;
 }
 
 /** Has a box hear of the peer; tells in which order things happened. */
 async function hearFrom(
   peer: Member,
-  { isNear, isWatcher = false, hearsStore = true }: Hearer,
+  { isNear, isWatcher = false, isStoreReachable = true }: Hearer,
 ): Promise<ReadonlyArray<string>> {
   const happened: Array<string> = [];
   await new Promise<void>((resolve) => {
     const catchUp = new PeerCatchUp({
       box: "self",
       knowledge: {
-        ...{ isWatcher, hearsStore },
+        ...{ isWatcher, isStoreReachable },
         progress: { configurationVersion: 1, leafsRevision: 5 },
         takeOver: ({ leafsRevision }) => {
           happened.push(`took over ${leafsRevision}`);
@@ -66,10 +66,10 @@
 t.test("a box that watches a lost store asks a peer near at once", async (t) => {
   const peer = await startPeer(t);
   const startedAtMs = performance.now();
-  const lost = { isNear: true, isWatcher: true, hearsStore: false };
+  const lost = { isNear: true, isWatcher: true, isStoreReachable: false };
   t.same(await hearFrom(peer, lost), ["took over 7"]);
   t.ok(performance.now() - startedAtMs < 400);
-  const heard = { isNear: true, isWatcher: true, hearsStore: true };
+  const heard = { isNear: true, isWatcher: true, isStoreReachable: true };
   t.same(await hearFrom(peer, heard), ["took over 7"]);
   t.ok(performance.now() - startedAtMs >= 600, "one that hears the store lets it come first");
 });
@@ -83,7 +83,7 @@
     const catchUp = new PeerCatchUp({
       box: "self",
       knowledge: {
-        ...{ isWatcher: false, hearsStore: true },
+        ...{ isWatcher: false, isStoreReachable: true },
         get progress() {
           return { configurationVersion: 1, leafsRevision };
         },
