Take over a peer's knowledge only where each value is what it should be

Cause: what a peer handed over was believed as it came; red before in shared_knowledge_fuzz_test (an empty list was taken).

--- a/knowledge/shared_knowledge.ts
+++ b/knowledge/shared_knowledge.ts
@@ -5,34 +5,19 @@
  */
 import { deflateRawSync, inflateRawSync } from "node:zlib";
 import type { Progress } from "../fleet/mod.js";
-import { applyLeafChanges, applyLeafList, type Leaf, type LeafTable } from "../leafs/mod.js";
+import { applyLeafChanges, applyLeafList, type LeafTable } from "../leafs/mod.js";
 import type { Configuration } from "../routing/mod.js";
+import { isSharedKnowledge, type SharedKnowledge } from "./_shared_fields.js";
 import type { LeafNews } from "./leaf_news.js";
 
+export type { LapsedLeaf, SharedKnowledge } from "./_shared_fields.js";
+
 /** Path at which peers hand over what they know. */
 export const KNOWLEDGE_PATH = "/peer/v1/knowledge";
 
 /** Largest answer taken, inflated, in bytes: far above a configuration and thousands of leafs. */
 const MAX_SHARED_BYTES = 64 * 1_048_576;
 
-/** What a peer that is behind takes over. */
-export interface SharedKnowledge {
-  /** Missing where the peer has it already. */
-  readonly configuration?: Configuration;
-  readonly leafs: ReadonlyArray<Leaf>;
-  /** Ids of leafs that are gone; missing where `leafs` holds all there are. */
-  readonly removed?: ReadonlyArray<string>;
-  /** Leafs whose entry is gone but may come back, and the time they have left, in milliseconds. */
-  readonly lapsed: ReadonlyArray<LapsedLeaf>;
-  readonly leafsRevision: number;
-}
-
-/** A leaf whose entry is gone but may come back. */
-export interface LapsedLeaf {
-  readonly leafId: string;
-  readonly leftMs: number;
-}
-
 /** What a box knows. */
 export interface KnownState {
   readonly configuration: Configuration | undefined;
@@ -103,13 +88,17 @@
 /**
  * Reads what a peer handed over.
  *
- * @param data - Its bytes.
+ * @param bytes - What it wrote.
  * @returns What was handed over.
  * @throws Where the bytes are no such thing.
  */
-export function decodeShared(data: Buffer): SharedKnowledge {
-  const text = inflateRawSync(data, { maxOutputLength: MAX_SHARED_BYTES }).toString("utf8");
-  return JSON.parse(text) as SharedKnowledge;
+export function decodeShared(bytes: Buffer): SharedKnowledge {
+  const text = inflateRawSync(bytes, { maxOutputLength: MAX_SHARED_BYTES }).toString("utf8");
+  const data: unknown = JSON.parse(text);
+  if (!isSharedKnowledge(data)) {
+    throw new Error("Cannot read what the peer handed over: not as agreed");
+  }
+  return data;
 }
 
 /**
