--- a/box/box_shell.ts
+++ b/box/box_shell.ts
@@ -15,7 +15,6 @@
 import { type BoxSettings, StoreClient } from "../platform/mod.js";
 import type { Quarantine } from "../quarantine/mod.js";
 import { RelayCalls } from "../relay/mod.js";
-import { homesOfHost } from "../routing/mod.js";
 import type { BoxTelemetry } from "../telemetry/mod.js";
 import { listen } from "./_listen.js";
 import { makeBudgets } from "./_make_budgets.js";
@@ -24,18 +23,16 @@
 import { makeLeafAccess } from "./_make_leaf_access.js";
 import { makeQuarantine } from "./_make_quarantine.js";
 import { makeRunner } from "./_make_runner.js";
+import { makeSideServers } from "./_make_side_servers.js";
 import { AdaptiveTimer } from "./adaptive_timer.js";
 import { BoxLife } from "./box_life.js";
 import { type BoxReport, reportBox } from "./box_report.js";
 import { callerServer, keepIdleCallers } from "./caller_server.js";
 import type { RequestRunner } from "./request_runner.js";
 import type { CompiledPolicies } from "./route_policies.js";
-import { type MetricsPlace, type ServerAtPort, sideServers } from "./side_servers.js";
+import type { MetricsPlace, ServerAtPort } from "./side_servers.js";
 import { takeTimeJump } from "./time_jump.js";
 
-/** Time that callers may keep an answer of the directory, in milliseconds; at most the setting. */
-const KEEP_MS = 5_000;
-
 /** Time between two looks at what is overdue while calls are open or boxes change, in milliseconds. */
 const TIDY_EVERY_MS = 200;
 
@@ -213,28 +210,18 @@
     });
     this.#servers = [
       { server: this.#callerServer, port: settings.callers.port },
-      ...sideServers({
-        settings,
-        isReady: () => this.#life.phase === "ready",
-        advise: ({ host, region }) => {
-          const { routes } = this.#knowledge;
-          return this.#view.advise(region, routes === undefined ? [] : homesOfHost(routes, host));
-        },
-        keepMs: () => Math.min(KEEP_MS, this.#settings.mostKeepMs),
+      ...makeSideServers({
+        settings: () => this.#settings,
+        life: this.#life,
+        view: this.#view,
+        knowledge: this.#knowledge,
+        quarantine: this.#quarantine,
+        calls: this.#calls,
+        places,
+        access,
         report: () => this.#report(),
-        lift: (fingerprint) => this.#quarantine.lift(fingerprint),
-        share: (progress) => this.#knowledge.share(progress),
-        relay: {
-          nowMs,
-          waitedMs,
-          calls: this.#calls,
-          leafs: () => this.#knowledge.leafs,
-          distance: (leaf) => places.distance(leaf),
-          access,
-          onParts: (count) => telemetry.relayedParts.inc(count),
-        },
         metrics,
-        metricsText: () => telemetry.metricsText(),
+        telemetry,
       }),
     ];
   }
--- a/fault_soak/promises.ts
+++ b/fault_soak/promises.ts
@@ -12,6 +12,7 @@
   seenSignature,
   serviceRecords,
 } from "../platform/standin/mod.js";
+import { type Disturbance, isDisturbed, newsDueAtMs } from "./disturbance.js";
 import {
   ENDS_LEAFS,
   HOME_ROUTE,
@@ -22,12 +23,6 @@
   type SoakFleet,
 } from "./soak_fleet.js";
 
-/** Time in which a change in the store is acted on by boxes that nothing disturbs, in milliseconds. */
-const NEWS_DUE_MS = 3_000;
-
-/** Time after a disturbance from which boxes must act in time again, in milliseconds. */
-const SOUND_AFTER_MS = 2_500;
-
 /** Runs of a query that ends leafs which are allowed once all boxes know of it. */
 const MOST_LATE_RUNS = 3;
 
@@ -56,12 +51,6 @@
   readonly isServed: boolean;
 }
 
-/** A time in which boxes or the store were disturbed, on this process's clock, in milliseconds. */
-export interface Disturbance {
-  readonly fromMs: number;
-  readonly untilMs: number;
-}
-
 /** Judges a run. */
 export class Promises {
   readonly #soak: SoakFleet;
@@ -273,28 +262,6 @@
   }
 }
 
-/** Whether some boxes were not held to bounds on time at a moment. */
-function isDisturbed(atMs: number, disturbances: ReadonlyArray<Disturbance>): boolean {
-  return disturbances.some(({ fromMs, untilMs }) => {
-    return atMs >= fromMs && atMs <= untilMs + SOUND_AFTER_MS;
-  });
-}
-
-/**
- * Moment at which news must be acted on: each disturbance that comes before it puts it off, until boxes
- * must act in time again. What came before that is due then; the two times do not add up.
- */
-function newsDueAtMs(atMs: number, disturbances: ReadonlyArray<Disturbance>): number {
-  let dueMs = atMs + NEWS_DUE_MS;
-  for (const { fromMs, untilMs } of disturbances.toSorted((a, b) => a.fromMs - b.fromMs)) {
-    const soundAtMs = untilMs + SOUND_AFTER_MS;
-    if (fromMs < dueMs && soundAtMs > atMs) {
-      dueMs = Math.max(dueMs, soundAtMs);
-    }
-  }
-  return dueMs;
-}
-
 /** Sorts all records, apart from how the product merges, so that a fault there shows. */
 function greatestRecords(parts: ReadonlyArray<Buffer>, count: number): Buffer {
   const records = parts.flatMap((part) => {
--- a/fault_soak/run_fault_soak.ts
+++ b/fault_soak/run_fault_soak.ts
@@ -5,9 +5,10 @@
  * @module
  */
 import { pause, until } from "../standins/waiting.js";
+import type { Disturbance } from "./disturbance.js";
 import { DISTURBING_KINDS, FAULT_HANDLERS } from "./fault_handlers.js";
 import { type FaultPlanOptions, faultPlan, type PlannedFault } from "./fault_plan.js";
-import { type Disturbance, Promises } from "./promises.js";
+import { Promises } from "./promises.js";
 import { SoakCallers } from "./soak_callers.js";
 import { SoakFleet } from "./soak_fleet.js";
 
--- a/leaf_access/cold_leafs.ts
+++ b/leaf_access/cold_leafs.ts
@@ -67,7 +67,9 @@
       }
     }
     for (const { leafId, entryRevision, warmingForMs } of leafs.values()) {
-      if (warmingForMs > 0 && this.#cold.get(leafId)?.entryRevision !== entryRevision) {
+      if (warmingForMs === 0 && this.#cold.get(leafId)?.entryRevision !== entryRevision) {
+        this.#forgetWarm(leafId, nowMs);
+      } else if (warmingForMs > 0 && this.#cold.get(leafId)?.entryRevision !== entryRevision) {
         this.#cold.set(leafId, { entryRevision, untilMs: nowMs + warmingForMs });
       }
     }
@@ -96,7 +98,12 @@
    * @returns Whether it is.
    */
   isCold(leafId: string): boolean {
-    return (this.#cold.get(leafId)?.untilMs ?? 0) > this.#options.nowMs();
+    const cold = this.#cold.get(leafId);
+    if (cold === undefined) {
+      // Asked for each leaf of each query, where reading the clock would be most of the work.
+      return false;
+    }
+    return cold.untilMs > this.#options.nowMs();
   }
 
   /**
@@ -131,6 +138,14 @@
     }
   }
 
+  /** Forgets a leaf that was cold; not before its time, as an entry may have been written before it turned cold. */
+  #forgetWarm(leafId: string, nowMs: number): void {
+    if ((this.#cold.get(leafId)?.untilMs ?? 0) <= nowMs) {
+      this.#cold.delete(leafId);
+      this.#sentAtMs.delete(leafId);
+    }
+  }
+
   #recent(leafId: string): ReadonlyArray<number> {
     const sinceMs = this.#options.nowMs() - WINDOW_MS;
     return (this.#sentAtMs.get(leafId) ?? []).filter((atMs) => atMs > sinceMs);
