Keep who may call cold leafs until a box changes

Cause, found by reading: asked for each cold leaf of each query, the list was sorted anew over all boxes each time. Change: kept as the serving boxes are; a test that boxes which seem dead keep their part.

--- a/fleet/fleet_view.ts
+++ b/fleet/fleet_view.ts
@@ -37,6 +37,7 @@
 export class FleetView {
   readonly #options: FleetViewOptions;
   readonly #serving = new Map<string, ReadonlyArray<Member>>();
+  readonly #callersOfCold = new Map<string, ReadonlyArray<string>>();
   #watchesStore: boolean | undefined;
 
   /**
@@ -49,6 +50,7 @@
   /** Says that a box has changed, so that conclusions are drawn anew. */
   changed(): void {
     this.#serving.clear();
+    this.#callersOfCold.clear();
     this.#watchesStore = undefined;
   }
 
@@ -173,6 +175,13 @@
    * @returns Their names.
    */
   callersOfCold(dataCentre: string): ReadonlyArray<string> {
+    const kept = this.#callersOfCold.get(dataCentre);
+    const callers = kept ?? this.#findCallersOfCold(dataCentre);
+    this.#callersOfCold.set(dataCentre, callers);
+    return callers;
+  }
+
+  #findCallersOfCold(dataCentre: string): ReadonlyArray<string> {
     const { members, settings } = this.#options;
     const { regions } = settings();
     const known = members().filter(({ state }) => state !== "leaving");
--- a/fleet/fleet_view_test.ts
+++ b/fleet/fleet_view_test.ts
@@ -125,3 +125,14 @@
     t.ok(spent <= 1, `${spent} of what may be spent in one window`);
   },
 );
+
+t.test("boxes that seem to be dead keep their part of what cold leafs bear", async (t) => {
+  const [self, ...others] = MEMBERS;
+  if (self === undefined) {
+    throw new Error("Cannot test without a box");
+  }
+  const dead = others.map((member): Member => ({ ...member, state: "dead" }));
+  const cutOff = viewAmong([self, ...dead], self);
+  t.same(cutOff.callersOfCold("hall-a"), viewOf(self).callersOfCold("hall-a"));
+  t.same(viewAmong([self], self).callersOfCold("hall-a"), [], "none while no other is known");
+});
