--- a/box/_run_world.ts
+++ b/box/_run_world.ts
@@ -32,6 +32,8 @@
   /** Moment of the event that is being taken. */
   nowMs = 0;
   waitedMs = 0;
+  /** Shards that no leaf could be asked for, by service, and what kept their leafs from it. */
+  readonly barred = new Map<string, string>();
   readonly #box: RunnerOptions;
   readonly #placement: Placement;
   readonly #fingerprint: string;
@@ -70,9 +72,6 @@
     };
   }
 
-  /** Shards that no leaf could be asked for, by service, and what kept their leafs from it. */
-  readonly barred = new Map<string, string>();
-
   /**
    * Finds a box that was chosen before.
    *
