Fault soak: repeated calls are checked from the leafs' side, by service and window

No test or soak looked at what reaches leafs beyond the first call of a request, so that no run of ours could say which form of the rule broke. A ledger of what callers sent and what reached leafs (also what they refused) finds, for each service, the worst window of extra calls, requests that more leafs ran than their route allows, and calls that told a leaf more time than its caller had.

--- a/fault_soak/invariant_checker.ts
+++ b/fault_soak/invariant_checker.ts
@@ -7,7 +7,10 @@
 
 import {
   type CallerResponse,
+  CallLedger,
+  EXTRA_CALL_LIMITS,
   type LeafSignature,
+  MAX_ATTEMPTS,
   parseLeafSignature,
   parsePartHeaders,
   serviceRecords,
@@ -26,6 +29,9 @@
 /** Runs of a crash-inducing query that are allowed after all boxes must have blocked it. */
 const MAX_LATE_RUNS = 3;
 
+/** Calls that may tell a leaf more time than the caller has left, over a run. */
+const MAX_OVERLONG_CALLS = 20;
+
 /** Size of a record, in bytes. */
 const RECORD_BYTES = 16;
 
@@ -38,6 +44,7 @@
   readonly incarnation: number;
   /** When it was sent, on this process's clock, in milliseconds. */
   readonly sentAtMs: number;
+  readonly deadlineMs: number;
   /** Whether the box was in a planned stop, without another fault of its process, when it ended. */
   readonly duringStop: boolean;
   /** `undefined` if the connection closed without a response. */
@@ -55,6 +62,7 @@
 /** Checks the invariants of one run. */
 export class InvariantChecker {
   readonly #soak: SoakFleet;
+  readonly #requests: Array<ObservedRequest> = [];
   readonly #notRun: Array<string> = [];
   readonly #interruptedByStop: Array<ObservedRequest> = [];
   readonly #highestVersion = new Map<string, number>();
@@ -78,6 +86,7 @@
    */
   checkRequest(request: ObservedRequest): void {
     const { path, requestId, response, duringStop } = request;
+    this.#requests.push(request);
     if (response === undefined) {
       if (duringStop) {
         this.#interruptedByStop.push(request);
@@ -107,6 +116,7 @@
     this.#checkCrashingQueries(disturbances);
     this.#checkAllowedRegions();
     this.#checkEvacuations(disturbances);
+    this.#checkRepeatedCalls();
   }
 
   #check(invariant: string, holds: boolean, detail: () => string): void {
@@ -230,6 +240,27 @@
     }
   }
 
+  #checkRepeatedCalls(): void {
+    const requests = this.#requests.map(({ path, requestId, sentAtMs, deadlineMs }) => {
+      return { requestId, services: servicesOfPath(path), sentAtMs, deadlineMs };
+    });
+    const leafs = this.#soak.allLeafs.map(({ leaf }) => leaf);
+    const ledger = new CallLedger(requests, leafs);
+    for (const peak of ledger.extraCallPeaks(EXTRA_CALL_LIMITS)) {
+      const holds = peak.extraCalls <= peak.allowed;
+      this.#check("extra calls stay within the budget", holds, () => JSON.stringify(peak));
+    }
+    const excess = ledger.excessRuns(MAX_ATTEMPTS);
+    this.#check("a request runs on no more leafs than allowed", excess.length === 0, () => {
+      return JSON.stringify(excess.slice(0, 5));
+    });
+    const overlong = ledger.overlongCalls();
+    const holds = overlong.length <= MAX_OVERLONG_CALLS;
+    this.#check("leafs are told no more time than is left", holds, () => {
+      return `${overlong.length} calls, such as ${JSON.stringify(overlong.slice(0, 5))}`;
+    });
+  }
+
   #checkAllowedRegions(): void {
     for (const { leaf, dataCentre } of this.#soak.allLeafs) {
       const outside = leaf.runs.find(({ path }) => {
@@ -269,6 +300,12 @@
   }
 }
 
+/** Services that a request to a path goes to. */
+function servicesOfPath(path: string): ReadonlyArray<string> {
+  const isGathered = path.startsWith("/sweep/") || path.startsWith(REGIONAL_ROUTE.prefix);
+  return isGathered ? SHARDS : [LEDGER];
+}
+
 /** Sorts all records, independently of the merge under test. */
 function greatestRecords(parts: ReadonlyArray<Buffer>, count: number): Buffer {
   const records = parts.flatMap((part) => {
--- a/fault_soak/soak_callers.ts
+++ b/fault_soak/soak_callers.ts
@@ -78,6 +78,7 @@
       box,
       incarnation,
       sentAtMs,
+      deadlineMs: DEADLINE_MS,
       duringStop,
       response,
     });
