Boxes tell their part of the slack of extra calls, and how long relay requests were under way

What the logs could not tell apart: which part of the slack a box takes and from which view of the fleet, and whether a request of another box had waited before it was read. Now: a log line and a gauge for the part, with the boxes it divides by; a header on relay requests with the sender's time (older boxes ignore it), from which the receiver takes the time under way beyond that of the fastest recent request of the same sender; a histogram, and a line from 100 ms. No decision uses either yet.

--- a/box/_make_auxiliary_servers.ts
+++ b/box/_make_auxiliary_servers.ts
@@ -11,6 +11,7 @@
 import type { LeafAccess } from "../leaf_access/mod.js";
 import type { BoxSettings } from "../platform/mod.js";
 import type { Quarantine } from "../quarantine/mod.js";
+import { type ReceivedRelayRequest, TransitDelays } from "../relay/mod.js";
 import { allowedRegionsOfHost } from "../routing/mod.js";
 import type { BoxTelemetry } from "../telemetry/mod.js";
 import {
@@ -24,6 +25,9 @@
 /** Maximum time to live of an address list, in milliseconds; the settings may lower it. */
 const MAX_ADDRESS_TTL_MS = 5_000;
 
+/** Time under way above which a relay request is logged, in milliseconds. */
+const MIN_LOGGED_DELAY_MS = 100;
+
 /** Options of {@link makeAuxiliaryServers}. */
 export interface MakeAuxiliaryServersOptions {
   /** Returns the current settings; ports never change after startup. */
@@ -37,7 +41,10 @@
   readonly access: LeafAccess;
   readonly report: () => BoxReport;
   readonly metrics: MetricsEndpoint | undefined;
-  readonly telemetry: Pick<BoxTelemetry, "metricsText" | "relayedParts">;
+  readonly telemetry: Pick<
+    BoxTelemetry,
+    "logRequest" | "metricsText" | "relayDelayMs" | "relayedParts"
+  >;
 }
 
 /**
@@ -72,9 +79,22 @@
       leafs: () => clusterState.leafs,
       distance: (leaf) => places.distance(leaf),
       access,
+      delays: new TransitDelays(),
+      onReceived: (received) => logDelay(received, telemetry),
       onParts: (count) => telemetry.relayedParts.inc(count),
     },
     metrics,
     metricsText: () => telemetry.metricsText(),
   });
 }
+
+function logDelay(
+  { delayMs, ...request }: ReceivedRelayRequest,
+  telemetry: Pick<BoxTelemetry, "logRequest" | "relayDelayMs">,
+): void {
+  telemetry.relayDelayMs.observe(delayMs);
+  if (delayMs > MIN_LOGGED_DELAY_MS) {
+    const fields = { ...request, delayMs: Math.round(delayMs) };
+    telemetry.logRequest("relay: request was received late", fields);
+  }
+}
--- a/box/_make_budgets.ts
+++ b/box/_make_budgets.ts
@@ -27,6 +27,6 @@
     share: () => settings().extraCallShare,
     slackCalls: () => settings().extraCallSlack,
     windowMs: () => settings().extraCallWindowMs,
-    slackShare: () => view.slackShare(),
+    slackShare: () => view.slackShare().share,
   });
 }
--- a/box/box_shell.ts
+++ b/box/box_shell.ts
@@ -32,6 +32,7 @@
 import { createCallerServer, setKeepAliveTimeouts } from "./caller_server.js";
 import type { RequestRunner } from "./request_runner.js";
 import type { CompiledPolicies } from "./route_policies.js";
+import { SlackReporter } from "./slack_reporter.js";
 import { handleTimeJump } from "./time_jump.js";
 
 /**
@@ -79,6 +80,7 @@
   readonly #callerServer: Server;
   readonly #servers: ReadonlyArray<ServerAtPort>;
   readonly #view: FleetView;
+  readonly #slackReporter: SlackReporter;
   readonly #lifecycle: BoxLifecycle;
   readonly #cleanupTimer = new AdaptiveTimer({
     busyIntervalMs: CLEANUP_INTERVAL_MS,
@@ -108,6 +110,7 @@
       alive: () => this.#fleet.alive(),
       sinceLastContactMs: () => this.#fleet.sinceLastContactMs,
     });
+    this.#slackReporter = new SlackReporter({ view: this.#view, telemetry });
     this.#clusterState = new ClusterState({
       store: this.#store,
       waitMs: watchWaitMs(settings),
@@ -357,6 +360,7 @@
     // A stopping box no longer receives updates from others, so it watches the store itself.
     const isWatcher = this.#lifecycle.isStopping || this.#view.watchesStore();
     this.#clusterState.setWatcher(isWatcher);
+    this.#slackReporter.report();
     const answeredAgoMs = this.#clusterState.storeAnsweredAgoMs;
     this.#telemetry.setStoreStats({ calls: this.#store.calls, answeredAgoMs });
   }
--- a/fleet/fleet_view.ts
+++ b/fleet/fleet_view.ts
@@ -18,6 +18,16 @@
  */
 const SERVING_SHARE = 0.72;
 
+/** This box's share of the slack of extra calls, and what it follows from. */
+export interface SlackShare {
+  /** The share, 0 to 1. */
+  readonly share: number;
+  /** Number of boxes that divide the slack. */
+  readonly boxCount: number;
+  readonly servingCount: number;
+  readonly isServing: boolean;
+}
+
 /** Options of a fleet view. */
 export interface FleetViewOptions {
   readonly settings: () => Pick<
@@ -171,12 +181,14 @@
    * Computes this box's share of the slack of all boxes. The shares add up to 1 if all boxes know
    * the same members.
    *
-   * @returns The share, 0 to 1.
+   * @returns The share, and what it follows from.
    */
-  slackShare(): number {
+  slackShare(): SlackShare {
     const { servingCount, isServing } = this.#servingState();
-    const commonShare = (1 - SERVING_SHARE) / this.countBoxes();
-    return isServing ? commonShare + SERVING_SHARE / servingCount : commonShare;
+    const boxCount = this.countBoxes();
+    const commonShare = (1 - SERVING_SHARE) / boxCount;
+    const share = isServing ? commonShare + SERVING_SHARE / servingCount : commonShare;
+    return { share, boxCount, servingCount, isServing };
   }
 
   /**
--- a/fleet/fleet_view_test.ts
+++ b/fleet/fleet_view_test.ts
@@ -101,7 +101,7 @@
 }
 
 function sharesAmong(members: ReadonlyArray<Member>): ReadonlyArray<number> {
-  return members.map((member) => viewAmong(members, member).slackShare());
+  return members.map((member) => viewAmong(members, member).slackShare().share);
 }
 
 function sumOf(shares: ReadonlyArray<number>): number {
--- a/relay/_merged_relay.ts
+++ b/relay/_merged_relay.ts
@@ -23,7 +23,7 @@
 } from "../request/mod.js";
 import { failedPartOf } from "./_failed_part_of.js";
 import { type LeafCallTemplate, leafCallTemplate } from "./_leaf_call_template.js";
-import type { Relay, RelayServerOptions } from "./_relay.js";
+import type { Relay, RelayOptions } from "./_relay.js";
 import { encodeRelayFrame } from "./relay_frames.js";
 import type { MergedRelayRequest } from "./relay_request.js";
 
@@ -52,7 +52,7 @@
 export class MergedRelay implements Relay {
   readonly #request: MergedRelayRequest;
   readonly #response: ServerResponse;
-  readonly #options: RelayServerOptions;
+  readonly #options: RelayOptions;
   readonly #call: LeafCallTemplate;
   readonly #open = new Set<OpenCall>();
   #pendingParts: Array<LocalPart> = [];
@@ -68,7 +68,7 @@
   #sentRecords: Buffer = Buffer.alloc(0);
   #timer: NodeJS.Timeout | undefined;
 
-  constructor(request: MergedRelayRequest, response: ServerResponse, options: RelayServerOptions) {
+  constructor(request: MergedRelayRequest, response: ServerResponse, options: RelayOptions) {
     this.#request = request;
     this.#call = leafCallTemplate(request);
     this.#response = response;
--- a/relay/_relay.ts
+++ b/relay/_relay.ts
@@ -7,9 +7,19 @@
 import type { LeafCalls } from "../calls/mod.js";
 import type { LeafAccess } from "../leaf_access/mod.js";
 import type { Distance, Leaf, LeafTable } from "../leafs/mod.js";
+import type { TransitDelays } from "./transit_delays.js";
 
-/** Options of the relay server. */
-export interface RelayServerOptions {
+/** A relay request that another box has sent. */
+export interface ReceivedRelayRequest {
+  readonly requestId: string;
+  /** Time left as stated by the sender, in milliseconds. */
+  readonly leftMs: number;
+  /** Time for which the request was under way, in milliseconds. */
+  readonly delayMs: number;
+}
+
+/** What relays use of their box. */
+export interface RelayOptions {
   readonly nowMs: () => number;
   /** Returns the event-loop idle time, in milliseconds. */
   readonly eventLoopIdleMs: () => number;
@@ -22,6 +32,13 @@
   readonly onParts: (count: number) => void;
 }
 
+/** Options of the relay server. */
+export interface RelayServerOptions extends RelayOptions {
+  readonly delays: TransitDelays;
+  /** Called with each request. */
+  readonly onReceived: (received: ReceivedRelayRequest) => void;
+}
+
 /** A relay request in progress. */
 export interface Relay {
   start(): void;
--- a/relay/_separate_relay.ts
+++ b/relay/_separate_relay.ts
@@ -15,7 +15,7 @@
 } from "../request/mod.js";
 import { failedPartOf } from "./_failed_part_of.js";
 import { type LeafCallTemplate, leafCallTemplate } from "./_leaf_call_template.js";
-import type { Relay, RelayServerOptions } from "./_relay.js";
+import type { Relay, RelayOptions } from "./_relay.js";
 import { encodeRelayFrame } from "./relay_frames.js";
 import { type SeparateCall, type SeparateRelayRequest, servicesOf } from "./relay_request.js";
 
@@ -23,16 +23,12 @@
 export class SeparateRelay implements Relay {
   readonly #request: SeparateRelayRequest;
   readonly #response: ServerResponse;
-  readonly #options: RelayServerOptions;
+  readonly #options: RelayOptions;
   readonly #call: LeafCallTemplate;
   readonly #open = new Set<OpenCall>();
   #openCount = 0;
 
-  constructor(
-    request: SeparateRelayRequest,
-    response: ServerResponse,
-    options: RelayServerOptions,
-  ) {
+  constructor(request: SeparateRelayRequest, response: ServerResponse, options: RelayOptions) {
     this.#request = request;
     this.#call = leafCallTemplate(request);
     this.#response = response;
--- a/relay/mod.ts
+++ b/relay/mod.ts
@@ -5,8 +5,9 @@
  * @module
  */
 
-export type { RelayServerOptions } from "./_relay.js";
+export type { ReceivedRelayRequest, RelayServerOptions } from "./_relay.js";
 export type { RelayListener } from "./_relay_response_reader.js";
 export * from "./relay_calls.js";
 export * from "./relay_request.js";
 export * from "./relay_server.js";
+export { TransitDelays } from "./transit_delays.js";
--- a/relay/relay_calls.ts
+++ b/relay/relay_calls.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { randomBytes } from "node:crypto";
 import { Pool } from "undici";
 import type { OpenCall } from "../calls/mod.js";
 import {
@@ -16,6 +17,7 @@
 import { type RelayListener, RelayResponseReader } from "./_relay_response_reader.js";
 import { encodeRelayRequest, type RelayRequest } from "./relay_request.js";
 import { RELAY_PATH } from "./relay_server.js";
+import { encodeSentTime, SENT_HEADER } from "./transit_delays.js";
 
 /** Maximum number of connections per box; each carries one request at a time. */
 const CONNECTIONS = 16;
@@ -38,6 +40,9 @@
 /** Time after its deadline at which a request is aborted, in milliseconds. */
 const OVERDUE_MARGIN_MS = 100;
 
+/** Number of random bytes that identify this process's clock; few, as each request contains them. */
+const CLOCK_ID_BYTES = 4;
+
 /** The selected box. */
 export interface ChosenBox {
   readonly member: Member;
@@ -76,6 +81,7 @@
   readonly #nowMs: () => number;
   readonly #eventLoopIdleMs: () => number;
   readonly #onActive: () => void;
+  readonly #clockId = randomBytes(CLOCK_ID_BYTES).toString("hex");
   readonly #pools = new Map<string, Pool>();
   readonly #health = new Map<string, LeafHealth>();
   readonly #queueReports = new Map<string, QueueReport>();
@@ -181,6 +187,7 @@
       {
         method: "POST",
         path: RELAY_PATH,
+        headers: { [SENT_HEADER]: this.#sentTime() },
         body: encodeRelayRequest(request),
         headersTimeout: 0,
         bodyTimeout: 0,
@@ -211,6 +218,10 @@
     }
   }
 
+  #sentTime(): string {
+    return encodeSentTime({ clockId: this.#clockId, sentAtMs: this.#nowMs() });
+  }
+
   #healthOf({ memberId }: Member): LeafHealth {
     return this.#health.get(memberId) ?? INITIAL_LEAF_HEALTH;
   }
--- a/relay/relay_server.ts
+++ b/relay/relay_server.ts
@@ -5,9 +5,10 @@
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { MergedRelay } from "./_merged_relay.js";
-import type { Relay, RelayServerOptions } from "./_relay.js";
+import type { Relay, RelayOptions, RelayServerOptions } from "./_relay.js";
 import { SeparateRelay } from "./_separate_relay.js";
 import { decodeRelayRequest, type RelayRequest } from "./relay_request.js";
+import { decodeSentTime, SENT_HEADER } from "./transit_delays.js";
 
 /** Path of relay requests. */
 export const RELAY_PATH = "/peer/v1/parts";
@@ -16,7 +17,7 @@
   readonly [K in RelayRequest["kind"]]: (
     request: Extract<RelayRequest, { readonly kind: K }>,
     response: ServerResponse,
-    options: RelayServerOptions,
+    options: RelayOptions,
   ) => Relay;
 } = {
   merged: (request, response, options) => new MergedRelay(request, response, options),
@@ -43,11 +44,12 @@
       response.writeHead(400).end();
       return;
     }
+    recordDelay(request, relayRequest, options);
     startResponse(response);
     const createRelay = HANDLERS[relayRequest.kind] as (
       request: RelayRequest,
       response: ServerResponse,
-      options: RelayServerOptions,
+      options: RelayOptions,
     ) => Relay;
     const relay = createRelay(relayRequest, response, options);
     response.on("close", () => relay.stop());
@@ -55,6 +57,16 @@
   });
 }
 
+function recordDelay(
+  { headers }: IncomingMessage,
+  { requestId, leftMs }: RelayRequest,
+  { delays, nowMs, onReceived }: RelayServerOptions,
+): void {
+  const sentTime = decodeSentTime(headers[SENT_HEADER]?.toString());
+  const delayMs = delays.record(sentTime, nowMs());
+  onReceived({ requestId, leftMs, delayMs });
+}
+
 /**
  * Starts the response without headers that boxes do not need. The connection stays open regardless.
  */
--- a/telemetry/box_telemetry.ts
+++ b/telemetry/box_telemetry.ts
@@ -57,8 +57,10 @@
   readonly attempts: LabeledCounter;
   readonly extraCalls: LabeledCounter;
   readonly relayedParts: Counter;
+  readonly relayDelayMs: Histogram;
   readonly quarantineChanges: LabeledCounter;
   readonly storeAnswers: Counter<"kind" | "outcome">;
+  readonly slackShare: Gauge;
   /** Updates the metrics of the store. */
   setStoreStats(store: StoreStats): void;
   readonly linesDropped: Counter;
@@ -146,6 +148,12 @@
       help: "Parts that this box got and merged for boxes of other regions",
       registers,
     }),
+    relayDelayMs: new Histogram({
+      name: "rackvale_relay_delay_ms",
+      help: "Time for which requests of other boxes were under way beyond the usual, in milliseconds",
+      buckets: LATENCY_BOUNDS_MS,
+      registers,
+    }),
     quarantineChanges: createLabeledCounter({
       name: "rackvale_quarantine_changes_total",
       help: "Queries under which leafs were lost, by what is believed of them from then on",
@@ -158,6 +166,11 @@
       labelNames: ["kind", "outcome"],
       registers,
     }),
+    slackShare: new Gauge({
+      name: "rackvale_extra_call_slack_share",
+      help: "Share of the slack of extra calls over all boxes that this box may use, 0 to 1",
+      registers,
+    }),
     setStoreStats: createStoreGauges(registers),
     linesDropped,
     metricsText: () => registry.metrics(),
