The slack of extra calls is divided by a list of all boxes, not by those believed alive

What callers saw: leafs asked again beyond what all boxes together may (BUDGET). Cause: each box took its part of the slack from the boxes that it believed to be alive and serving. One that had just started and met nobody, was cut off, or had missed answers while it stood still took the parts of others that went on using theirs. Change: the store keeps a list of all boxes with their processor cores; its totals go along with each datagram (older boxes read over them). A box's part is its own weight (cores squared, as large boxes get most requests) of the total weight, both of which no cut, kill or start changes; without the list it has no part. Why it works: the parts add up to at most one whatever boxes believe of one another (property test over beliefs, red with the former division). Callers' rates are divided by the list as well. A check was replaced: that serving boxes that fail leave room for those that take over; the new one holds for any beliefs, kills among them.

--- a/box/_make_fleet_link.ts
+++ b/box/_make_fleet_link.ts
@@ -6,7 +6,7 @@
  */
 
 import { type ClusterState, PeerCatchUp } from "../cluster_state/mod.js";
-import { FleetLink, type FleetView, selfMember } from "../fleet/mod.js";
+import { FleetLink, type FleetView, type KnownFleetSize, selfMember } from "../fleet/mod.js";
 import type { Member } from "../model/mod.js";
 import type { BoxSettings } from "../platform/mod.js";
 import type { Quarantine } from "../quarantine/mod.js";
@@ -25,6 +25,7 @@
   readonly nowMs: () => number;
   readonly clusterState: ClusterState;
   readonly view: FleetView;
+  readonly fleetSize: KnownFleetSize;
   readonly isLocal: (member: Member) => boolean;
   readonly quarantine: Pick<Quarantine, "applyReports" | "selectReports">;
   /** Called when the membership state of a box has changed. */
@@ -39,8 +40,8 @@
  * @returns The link, not yet open.
  */
 export function makeFleetLink(options: MakeFleetLinkOptions): FleetLink {
-  const { isLocal, clusterState, nowMs, onMemberChange, quarantine, settings, telemetry, view } =
-    options;
+  const { clusterState, fleetSize, isLocal, nowMs, onMemberChange, quarantine } = options;
+  const { settings, telemetry, view } = options;
   const { box, datagramPort } = settings();
   const catchUp = new PeerCatchUp({
     box,
@@ -49,6 +50,12 @@
     onRemoteUpdate: () => fleet.sendUpdate(view.regionPeers()),
     telemetry,
   });
+  // A box of another region sends an update to only one box of this region, which forwards it.
+  const forward = (sender: Member | undefined): void => {
+    if (sender !== undefined && !isLocal(sender)) {
+      fleet.sendUpdate(view.regionPeers());
+    }
+  };
   const fleet: FleetLink = new FleetLink({
     self: selfMember(settings()),
     seeds: () => seedAddresses(settings()),
@@ -59,15 +66,20 @@
     onProgress: (member, progress) => catchUp.catchUp(member, progress),
     crashes: () => quarantine.selectReports(MAX_QUERIES_PER_DATAGRAM),
     onCrashes: (reported, sender) => {
-      // A box of another region sends an update to only one box of this region, which forwards it.
-      if (quarantine.applyReports(reported) && sender !== undefined && !isLocal(sender)) {
-        fleet.sendUpdate(view.regionPeers());
+      if (quarantine.applyReports(reported)) {
+        forward(sender);
       }
     },
     evacuations: () => clusterState.evacuationUpdate,
     onEvacuations: (updates, sender) => {
-      if (clusterState.mergeEvacuations(updates) && sender !== undefined && !isLocal(sender)) {
-        fleet.sendUpdate(view.regionPeers());
+      if (clusterState.mergeEvacuations(updates)) {
+        forward(sender);
+      }
+    },
+    fleetSize: () => fleetSize.current,
+    onFleetSize: (size, sender) => {
+      if (fleetSize.merge(size)) {
+        forward(sender);
       }
     },
     onMemberChange: ({ box: member, state, incarnation }) => {
--- a/box/box_shell.ts
+++ b/box/box_shell.ts
@@ -7,9 +7,14 @@
 import type { Server } from "node:http";
 import { LeafCalls } from "../calls/mod.js";
 import { BOX_CLOCK, nowMs } from "../clock/mod.js";
-import { ClusterState, QuarantineArchive, watchWaitMs } from "../cluster_state/mod.js";
+import {
+  ClusterState,
+  type FleetRoster,
+  QuarantineArchive,
+  watchWaitMs,
+} from "../cluster_state/mod.js";
 import type { ExtraCallBudgets } from "../extra_calls/mod.js";
-import { type FleetLink, FleetView, RelayPlaces } from "../fleet/mod.js";
+import { type FleetLink, FleetView, KnownFleetSize, RelayPlaces } from "../fleet/mod.js";
 import { eventLoopIdleMs } from "../latency/mod.js";
 import type { ColdLeafs } from "../leaf_access/mod.js";
 import type { Member } from "../model/mod.js";
@@ -21,6 +26,7 @@
 import { makeAuxiliaryServers } from "./_make_auxiliary_servers.js";
 import { makeBudgets } from "./_make_budgets.js";
 import { makeFleetLink } from "./_make_fleet_link.js";
+import { makeFleetRoster } from "./_make_fleet_roster.js";
 import { makeLeafAccess } from "./_make_leaf_access.js";
 import { makeQuarantine } from "./_make_quarantine.js";
 import { makeRequestHandler } from "./_make_request_handler.js";
@@ -80,6 +86,8 @@
   readonly #callerServer: Server;
   readonly #servers: ReadonlyArray<ServerAtPort>;
   readonly #view: FleetView;
+  readonly #fleetSize = new KnownFleetSize();
+  readonly #roster: FleetRoster;
   readonly #slackReporter: SlackReporter;
   readonly #lifecycle: BoxLifecycle;
   readonly #cleanupTimer = new AdaptiveTimer({
@@ -108,8 +116,18 @@
       settings: () => this.#settings,
       members: () => this.#fleet.members(),
       alive: () => this.#fleet.alive(),
+      fleetSize: () => this.#fleetSize.current,
       sinceLastContactMs: () => this.#fleet.sinceLastContactMs,
     });
+    this.#roster = makeFleetRoster({
+      box: settings.box,
+      store: this.#store,
+      nowMs,
+      view: this.#view,
+      fleetSize: this.#fleetSize,
+      notifyBoxes: () => this.#fleet.sendUpdate(this.#view.updateRecipients()),
+      telemetry,
+    });
     this.#slackReporter = new SlackReporter({ view: this.#view, telemetry });
     this.#clusterState = new ClusterState({
       store: this.#store,
@@ -122,7 +140,10 @@
         this.#coldLeafs.setLeafs(this.#clusterState.leafs.byId);
         this.#onStateChange();
       },
-      onStoreRestored: () => void this.#archive.rewrite(this.#quarantine.records()),
+      onStoreRestored: () => {
+        void this.#archive.rewrite(this.#quarantine.records());
+        void this.#roster.update();
+      },
       isEvacuationEnabled: settings.hasEvacuations,
       onEvacuations: (usedAgain) => this.#onEvacuations(usedAgain),
     });
@@ -186,6 +207,7 @@
       nowMs,
       clusterState: this.#clusterState,
       view: this.#view,
+      fleetSize: this.#fleetSize,
       isLocal,
       quarantine: this.#quarantine,
       onMemberChange: () => {
@@ -360,6 +382,7 @@
     // A stopping box no longer receives updates from others, so it watches the store itself.
     const isWatcher = this.#lifecycle.isStopping || this.#view.watchesStore();
     this.#clusterState.setWatcher(isWatcher);
+    this.#roster.check();
     this.#slackReporter.report();
     const answeredAgoMs = this.#clusterState.storeAnsweredAgoMs;
     this.#telemetry.setStoreStats({ calls: this.#store.calls, answeredAgoMs });
--- a/box/slack_reporter_test.ts
+++ b/box/slack_reporter_test.ts
@@ -1,7 +1,7 @@
 import t from "tap";
 import { SlackReporter } from "./slack_reporter.js";
 
-const INPUTS = { boxCount: 4, servingCount: 4, isServing: true };
+const INPUTS = { listedBoxes: 4, runningBoxes: 4 };
 
 t.test("the share of extra calls is logged when it changes, with its inputs", async (t) => {
   let share = 0.25;
--- a/cluster_state/mod.ts
+++ b/cluster_state/mod.ts
@@ -6,6 +6,7 @@
  */
 export * from "./cluster_state.js";
 export * from "./evacuations.js";
+export * from "./fleet_roster.js";
 export * from "./leaf_change_log.js";
 export * from "./leaf_registry.js";
 export * from "./peer_catch_up.js";
--- a/fleet/_fleet_message_fields.ts
+++ b/fleet/_fleet_message_fields.ts
@@ -40,6 +40,9 @@
 /** Evacuated data centres, with their values in the order on the wire. */
 export type EvacuationFields = readonly [position: number, dataCentres: ReadonlyArray<string>];
 
+/** Size of the fleet, with its values in the order on the wire. */
+export type FleetSizeFields = readonly [generation: number, boxCount: number, totalWeight: number];
+
 /** A datagram, with its values in the order on the wire. */
 export type MessageFields = readonly [
   kind: FleetMessageKind,
@@ -47,10 +50,12 @@
   configurationVersion: number,
   leafsRevision: number,
   members: ReadonlyArray<MemberFields>,
-  /** Omitted if there are neither crashes nor evacuations. */
+  /** Empty, or omitted if no value follows, if there are none. */
   crashes?: ReadonlyArray<CrashFields>,
-  /** Omitted if no data centre was ever evacuated. */
+  /** At position 0, or omitted if no value follows, if no data centre was ever evacuated. */
   evacuations?: EvacuationFields,
+  /** Omitted while it is unknown. */
+  fleetSize?: FleetSizeFields,
 ];
 
 type Check = (value: unknown) => boolean;
@@ -65,6 +70,9 @@
 ]);
 const MAX_PORT = 65_535;
 
+/** Maximum number of boxes of a fleet. */
+const MAX_BOXES = 100_000;
+
 const isString: Check = (value) => typeof value === "string";
 const isNumber: Check = (value) => Number.isFinite(value);
 const isAddress: Check = (value) => typeof value === "string" && isIPv4(value);
@@ -104,6 +112,14 @@
   (value) => Array.isArray(value) && value.every(isString),
 ];
 
+const isCount: Check = (value) => Number.isSafeInteger(value) && Number(value) > 0;
+
+const FLEET_SIZE_CHECKS: Checks<FleetSizeFields> = [
+  isCount,
+  (value) => isCount(value) && Number(value) <= MAX_BOXES,
+  (value) => Number.isFinite(value) && Number(value) > 0,
+];
+
 const MESSAGE_CHECKS: Checks<Required<MessageFields>> = [
   (value) => KINDS.has(value),
   isNumber,
@@ -112,6 +128,7 @@
   (value) => isListOf(value, MEMBER_CHECKS),
   (value) => value === undefined || isListOf(value, CRASH_CHECKS),
   (value) => value === undefined || matches(value, EVACUATION_CHECKS),
+  (value) => value === undefined || matches(value, FLEET_SIZE_CHECKS),
 ];
 
 /**
--- a/fleet/fleet_link.ts
+++ b/fleet/fleet_link.ts
@@ -15,7 +15,7 @@
   selectPiggybackMembers,
   suspectMember,
 } from "../membership/mod.js";
-import type { EvacuationUpdate, Member, MemberState } from "../model/mod.js";
+import type { EvacuationUpdate, FleetSize, Member, MemberState } from "../model/mod.js";
 import type { ReportedCrashes } from "../quarantine/mod.js";
 import {
   decodeFleetMessage,
@@ -53,6 +53,10 @@
   readonly evacuations: () => EvacuationUpdate | undefined;
   /** Called with the evacuations that another box reports. */
   readonly onEvacuations: (update: EvacuationUpdate, sender: Member | undefined) => void;
+  /** Returns the size of the fleet; `undefined` while it is unknown. */
+  readonly fleetSize: () => FleetSize | undefined;
+  /** Called with the size of the fleet that another box reports. */
+  readonly onFleetSize: (size: FleetSize, sender: Member | undefined) => void;
   /** Called with the versions of stored data that another box has. */
   readonly onProgress: (member: Member, progress: SyncProgress) => void;
   /** Called when the state of a member changes in this box's view. */
@@ -228,9 +232,14 @@
   }
 
   /** Content of each datagram besides members. */
-  #payload(): Pick<FleetMessage, "crashes" | "evacuations" | "progress"> {
-    const { crashes, evacuations, progress } = this.#options;
-    return { crashes: crashes(), evacuations: evacuations(), progress: progress() };
+  #payload(): Omit<FleetMessage, "kind" | "number" | "members"> {
+    const { crashes, evacuations, fleetSize, progress } = this.#options;
+    return {
+      crashes: crashes(),
+      evacuations: evacuations(),
+      fleetSize: fleetSize(),
+      progress: progress(),
+    };
   }
 
   #receive(data: Buffer, address: string): void {
@@ -251,6 +260,9 @@
     if (message.evacuations !== undefined) {
       this.#options.onEvacuations(message.evacuations, sender);
     }
+    if (message.fleetSize !== undefined) {
+      this.#options.onFleetSize(message.fleetSize, sender);
+    }
     if (message.kind === "ask") {
       this.#send("answer", message.number, address);
     } else if (message.number === this.#pending?.number) {
--- a/fleet/fleet_messages.ts
+++ b/fleet/fleet_messages.ts
@@ -5,11 +5,12 @@
  * @module
  */
 import { deflateRawSync, inflateRawSync } from "node:zlib";
-import type { EvacuationUpdate, Member } from "../model/mod.js";
+import type { EvacuationUpdate, FleetSize, Member } from "../model/mod.js";
 import type { CrashStatus, ReportedCrashes } from "../quarantine/mod.js";
 import {
   type CrashFields,
   type FleetMessageKind,
+  type FleetSizeFields,
   isMessageFields,
   type MemberFields,
 } from "./_fleet_message_fields.js";
@@ -36,6 +37,8 @@
   readonly crashes: ReadonlyArray<ReportedCrashes>;
   /** Evacuated data centres; `undefined` if none was ever evacuated. */
   readonly evacuations?: EvacuationUpdate | undefined;
+  /** Size of the fleet; `undefined` while the sender does not know it. */
+  readonly fleetSize?: FleetSize | undefined;
 }
 
 /** Maximum size of an inflated datagram, in bytes. */
@@ -49,6 +52,9 @@
 
 const INFLATE = { windowBits: 12, chunkSize: 4_096, maxOutputLength: MAX_MESSAGE_BYTES } as const;
 
+/** Stands for no evacuations in a datagram with a later value. */
+const NO_EVACUATIONS: EvacuationUpdate = { position: 0, dataCentres: [] };
+
 /**
  * Encodes a datagram.
  *
@@ -56,17 +62,29 @@
  * @returns The encoded bytes.
  */
 export function encodeFleetMessage(message: FleetMessage): Buffer {
-  const { kind, number, progress, members, crashes, evacuations } = message;
+  const { kind, number, progress, members } = message;
   const { configurationVersion, leafsRevision } = progress;
   const memberFields = members.map(toMemberFields);
-  const evacuated = evacuations && [evacuations.position, evacuations.dataCentres];
-  const crashList =
-    crashes.length === 0 && evacuated === undefined ? [] : [crashes.map(toCrashFields)];
-  const optional = evacuated === undefined ? crashList : [...crashList, evacuated];
+  const optional = optionalFields(message);
   const fields = [kind, number, configurationVersion, leafsRevision, memberFields, ...optional];
   return deflateRawSync(JSON.stringify(fields), DEFLATE);
 }
 
+/** Encodes the optional values, up to the last one that the message has. */
+function optionalFields(message: FleetMessage): ReadonlyArray<unknown> {
+  const { crashes, evacuations, fleetSize } = message;
+  const { position, dataCentres } = evacuations ?? NO_EVACUATIONS;
+  if (fleetSize !== undefined) {
+    const { generation, boxCount, totalWeight } = fleetSize;
+    const sizeFields = [generation, boxCount, totalWeight];
+    return [crashes.map(toCrashFields), [position, dataCentres], sizeFields];
+  }
+  if (evacuations !== undefined) {
+    return [crashes.map(toCrashFields), [position, dataCentres]];
+  }
+  return crashes.length === 0 ? [] : [crashes.map(toCrashFields)];
+}
+
 /**
  * Decodes a datagram.
  *
@@ -87,24 +105,31 @@
       leafsRevision,
       memberFields,
       crashList = [],
-      evacuated,
+      evacuated = [NO_EVACUATIONS.position, []],
+      sizeFields,
     ] = fields;
     const progress = { configurationVersion, leafsRevision };
     const crashes = crashList.flatMap(fromCrashFields);
-    const evacuations = evacuated && { position: evacuated[0], dataCentres: evacuated[1] };
+    const [position, dataCentres] = evacuated;
+    const fleetSize = sizeFields && toFleetSize(sizeFields);
     return {
       kind,
       number,
       progress,
       members: memberFields.map(fromMemberFields),
       crashes,
-      evacuations,
+      evacuations: position > NO_EVACUATIONS.position ? { position, dataCentres } : undefined,
+      fleetSize,
     };
   } catch {
     return undefined;
   }
 }
 
+function toFleetSize([generation, boxCount, totalWeight]: FleetSizeFields): FleetSize {
+  return { generation, boxCount, totalWeight };
+}
+
 function toCrashFields(crashes: ReportedCrashes): CrashFields {
   const { fingerprint, standing, lostLeafs, lostTrials, suspectedAgoMs, changedAgoMs } = crashes;
   const agesMs = [Math.round(suspectedAgoMs), Math.round(changedAgoMs)] as const;
--- a/fleet/fleet_messages_test.ts
+++ b/fleet/fleet_messages_test.ts
@@ -40,6 +40,25 @@
   t.same(decoded?.crashes, [{ ...crashes[0], suspectedAgoMs: 812, changedAgoMs: 4 }]);
 });
 
+t.test("the size of the fleet is reported, with or without evacuations", async (t) => {
+  const fleetSize = { generation: 3, boxCount: 62, totalWeight: 12.5 };
+  const evacuations = { position: 5, dataCentres: ["hall-a"] };
+  for (const message of [
+    { ...MESSAGE, fleetSize },
+    { ...MESSAGE, fleetSize, evacuations },
+  ]) {
+    t.match(decodeFleetMessage(encodeFleetMessage(message)), message);
+  }
+  t.equal(
+    decodeFleetMessage(encodeFleetMessage({ ...MESSAGE, fleetSize }))?.evacuations,
+    undefined,
+  );
+  for (const fields of [[0, 62, 1], [1, 0, 1], [1, 1e9, 1], [1, 2], [1, 2, 0], "x"]) {
+    const data = deflateRawSync(JSON.stringify(["ask", 1, 1, 1, [], [], [0, []], fields]));
+    t.equal(decodeFleetMessage(data), undefined, JSON.stringify(fields));
+  }
+});
+
 t.test("decodeFleetMessage() ignores a crash with an unknown status", async (t) => {
   const crashes = [["f", "someday", 1, 1, 1, 1]];
   const data = deflateRawSync(JSON.stringify(["ask", 1, 1, 1, [], crashes]));
--- a/fleet/fleet_view.ts
+++ b/fleet/fleet_view.ts
@@ -4,40 +4,46 @@
  *
  * @module
  */
-import type { Member } from "../model/mod.js";
+import type { FleetSize, Member } from "../model/mod.js";
 import type { BoxSettings, SocketAddress } from "../platform/mod.js";
+import { boxWeight, sumOfWeights } from "./box_weight.js";
 import { servingBoxes } from "./serving_boxes.js";
 import { storeWatchers } from "./store_watchers.js";
 
 /** Maximum number of connections of one box to a leaf. */
 const MAX_CONNECTIONS = 8;
 
-/**
- * Share of the slack that the serving boxes divide among themselves. All boxes divide the
- * remainder, for requests that reach a box on standby.
- */
-const SERVING_SHARE = 0.72;
-
 /** This box's share of the slack of extra calls, and what it follows from. */
 export interface SlackShare {
   /** The share, 0 to 1. */
   readonly share: number;
-  /** Number of boxes that divide the slack. */
-  readonly boxCount: number;
-  readonly servingCount: number;
-  readonly isServing: boolean;
+  /** Number of boxes that the store lists; 0 while it is unknown. */
+  readonly listedBoxes: number;
+  /** Number of boxes that are not considered dead, including this one. */
+  readonly runningBoxes: number;
+}
+
+/** The boxes that are not considered dead. */
+interface RunningBoxes {
+  readonly coresByBox: ReadonlyMap<string, number>;
+  readonly totalWeight: number;
 }
 
+/** Stands for the size of a fleet that is not known yet. */
+const UNKNOWN_SIZE = { boxCount: 0, totalWeight: 0 } as const;
+
 /** Options of a fleet view. */
 export interface FleetViewOptions {
   readonly settings: () => Pick<
     BoxSettings,
-    "box" | "dataCentre" | "regions" | "seeds" | "recoveryDeadlineMs"
+    "box" | "dataCentre" | "processorCores" | "recoveryDeadlineMs" | "regions" | "seeds"
   >;
-  /** Returns all known boxes, including this one. */
+  /** Returns all known boxes, including this one and dead ones. */
   readonly members: () => ReadonlyArray<Member>;
   /** Returns the boxes that accept work, including this one if it does. */
   readonly alive: () => ReadonlyArray<Member>;
+  /** Returns the totals of the store's list of boxes; `undefined` while they are unknown. */
+  readonly fleetSize: () => FleetSize | undefined;
   /** Returns the time since the last contact with another box, in milliseconds. */
   readonly sinceLastContactMs: () => number;
 }
@@ -47,6 +53,7 @@
   readonly #options: FleetViewOptions;
   readonly #serving = new Map<string, ReadonlyArray<Member>>();
   readonly #coldLeafCallers = new Map<string, ReadonlyArray<string>>();
+  #running: RunningBoxes | undefined;
   #watchesStore: boolean | undefined;
 
   /**
@@ -60,16 +67,36 @@
   invalidate(): void {
     this.#serving.clear();
     this.#coldLeafCallers.clear();
+    this.#running = undefined;
     this.#watchesStore = undefined;
   }
 
   /**
    * Returns the number of boxes that divide shared limits, at least the number of seeds in the
-   * settings.
+   * settings. Boxes that this one cannot reach are included, as they continue to run.
    */
   countBoxes(): number {
-    const running = this.#options.members().filter(({ state }) => state !== "dead");
-    return Math.max(this.#options.settings().seeds.length, running.length);
+    const { fleetSize, settings } = this.#options;
+    const listedCount = fleetSize()?.boxCount ?? 0;
+    return Math.max(settings().seeds.length, this.runningBoxes().size, listedCount);
+  }
+
+  /** Returns the processor cores of the boxes that are not considered dead, by box. */
+  runningBoxes(): ReadonlyMap<string, number> {
+    return this.#findRunning().coresByBox;
+  }
+
+  #findRunning(): RunningBoxes {
+    if (this.#running === undefined) {
+      const cores = coresByBox(this.#options.members().filter(({ state }) => state !== "dead"));
+      this.#running = { coresByBox: cores, totalWeight: sumOfWeights(cores.values()) };
+    }
+    return this.#running;
+  }
+
+  /** Returns the processor cores of all known boxes, including dead ones, by box. */
+  knownBoxes(): ReadonlyMap<string, number> {
+    return coresByBox(this.#options.members());
   }
 
   /**
@@ -178,17 +205,19 @@
   }
 
   /**
-   * Computes this box's share of the slack of all boxes. The shares add up to 1 if all boxes know
-   * the same members.
+   * Computes this box's share of the slack of all boxes. It does not depend on which other boxes
+   * this one knows or considers dead, as these may continue to run: the shares of all boxes add up
+   * to at most 1.
    *
-   * @returns The share, and what it follows from.
+   * @returns The share, and what it follows from; 0 while the size of the fleet is unknown.
    */
   slackShare(): SlackShare {
-    const { servingCount, isServing } = this.#servingState();
-    const boxCount = this.countBoxes();
-    const commonShare = (1 - SERVING_SHARE) / boxCount;
-    const share = isServing ? commonShare + SERVING_SHARE / servingCount : commonShare;
-    return { share, boxCount, servingCount, isServing };
+    const { fleetSize, settings } = this.#options;
+    const { boxCount, totalWeight } = fleetSize() ?? UNKNOWN_SIZE;
+    const running = this.#findRunning();
+    const divisor = Math.max(totalWeight, running.totalWeight);
+    const share = boxCount === 0 ? 0 : boxWeight(settings().processorCores) / divisor;
+    return { share, listedBoxes: boxCount, runningBoxes: running.coresByBox.size };
   }
 
   /**
@@ -243,3 +272,7 @@
     });
   }
 }
+
+function coresByBox(members: ReadonlyArray<Member>): ReadonlyMap<string, number> {
+  return new Map(members.map(({ memberId, processorCores = 1 }) => [memberId, processorCores]));
+}
--- a/fleet/fleet_view_test.ts
+++ b/fleet/fleet_view_test.ts
@@ -1,6 +1,8 @@
+import fc from "fast-check";
 import t from "tap";
-import type { Member } from "../model/mod.js";
+import type { FleetSize, Member } from "../model/mod.js";
 import { sampleMember } from "../standins/sample_member.js";
+import { sumOfWeights } from "./box_weight.js";
 import { FleetView } from "./fleet_view.js";
 
 const REGIONS = new Map([
@@ -19,11 +21,25 @@
   return names.split(" ").map((box) => memberOf(box, dataCentre));
 });
 
+const SETTINGS = {
+  regions: REGIONS,
+  seeds: [],
+  recoveryDeadlineMs: 4_000,
+  processorCores: 1,
+} as const;
+
+/** Size of a fleet that lists members; unknown without any. */
+function sizeOf(listed: ReadonlyArray<Member>): FleetSize | undefined {
+  const totalWeight = sumOfWeights(listed.map(({ processorCores }) => processorCores));
+  return listed.length === 0 ? undefined : { generation: 1, boxCount: listed.length, totalWeight };
+}
+
 function viewOf({ box, dataCentre }: Member, sinceLastContactMs = 0): FleetView {
   return new FleetView({
-    settings: () => ({ box, dataCentre, regions: REGIONS, seeds: [], recoveryDeadlineMs: 4_000 }),
+    settings: () => ({ ...SETTINGS, box, dataCentre }),
     members: () => MEMBERS,
     alive: () => MEMBERS,
+    fleetSize: () => sizeOf(MEMBERS),
     sinceLastContactMs: () => sinceLastContactMs,
   });
 }
@@ -91,11 +107,16 @@
   });
 });
 
-function viewAmong(members: ReadonlyArray<Member>, { box, dataCentre }: Member): FleetView {
+function viewAmong(
+  members: ReadonlyArray<Member>,
+  { box, dataCentre, processorCores = 1 }: Member,
+  listed: ReadonlyArray<Member> = members,
+): FleetView {
   return new FleetView({
-    settings: () => ({ box, dataCentre, regions: REGIONS, seeds: [], recoveryDeadlineMs: 4_000 }),
+    settings: () => ({ ...SETTINGS, box, dataCentre, processorCores }),
     members: () => members,
-    alive: () => members,
+    alive: () => members.filter(({ state }) => state === "alive"),
+    fleetSize: () => sizeOf(listed),
     sinceLastContactMs: () => 0,
   });
 }
@@ -108,25 +129,52 @@
   return shares.reduce((sum, share) => sum + share, 0);
 }
 
-t.test("slackShare() favours serving boxes, and the shares add up to 1", async (t) => {
+t.test("slackShare() favours large boxes, and the shares add up to 1", async (t) => {
   const shares = sharesAmong(LARGE_FLEET);
   t.ok(Math.abs(sumOf(shares) - 1) < 1e-9, `the shares add up to ${sumOf(shares)}`);
-  t.ok((shares[0] ?? 0) > 0.04, `a serving box has ${shares[0]}; equal shares would be 0.005`);
-  t.ok((shares.at(-1) ?? 0) > 0, "a box on standby has a share");
+  t.ok((shares[0] ?? 0) > 0.03, `a large box has ${shares[0]}; equal shares would be 0.005`);
+  t.ok((shares.at(-1) ?? 0) > 0, "a small box has a share");
+});
+
+t.test("slackShare() is 0 while the size of the fleet is unknown", async (t) => {
+  const [first] = LARGE_FLEET;
+  const members = LARGE_FLEET.slice(0, 1);
+  t.equal(viewAmong(members, first as Member, []).slackShare().share, 0);
+});
+
+/** What one box believes of another: an alive one may be unknown yet, or be considered dead. */
+const BELIEFS = ["alive", "suspect", "dead", "unknown"] as const;
+
+// Boxes that took over the shares of those that they consider dead or have not met yet would
+// together use a multiple of the slack.
+t.test("the shares of the slack add up to at most 1 whatever boxes believe", async (t) => {
+  const fleet = LARGE_FLEET.filter((_, index) => index % 65 < 16);
+  const belief = fc.constantFrom(...BELIEFS);
+  const beliefs = fc.array(belief, { minLength: fleet.length, maxLength: fleet.length });
+  // Most boxes believe the same of most others, as one cut or kill affects many beliefs at once.
+  const common = fc.oneof(beliefs, ...BELIEFS.map((each) => fc.constant(fleet.map(() => each))));
+  fc.assert(
+    fc.property(fc.array(common, { minLength: 1, maxLength: 6 }), (patterns) => {
+      const shares = fleet.map((self, position) => {
+        const pattern = patterns[position % patterns.length] ?? [];
+        const members = fleet.flatMap((member, index): ReadonlyArray<Member> => {
+          const state = member === self ? "alive" : (pattern[index] ?? "alive");
+          return state === "unknown" ? [] : [{ ...member, state }];
+        });
+        return viewAmong(members, self, fleet).slackShare().share;
+      });
+      return sumOf(shares) <= 1 + 1e-9;
+    }),
+    { numRuns: 200, seed: 40 },
+  );
+  t.pass();
 });
 
-/**
- * Share of the slack that boxes use; see `extra_calls`. The remainder covers changes of the serving
- * boxes.
- */
-const SLACK_USED = 0.56;
-
-t.test("slack used by serving boxes that fail leaves room for their replacements", async (t) => {
-  const failed = sharesAmong(LARGE_FLEET).filter((share) => share > 0.04);
-  const remaining = LARGE_FLEET.filter(({ processorCores }) => processorCores === 0.324);
-  t.equal(failed.length, 18);
-  const used = (sumOf(failed) + sumOf(sharesAmong(remaining))) * SLACK_USED;
-  t.ok(used <= 1, `${used} of the slack of one window is used`);
+t.test("limits are divided by boxes that are listed, even if they are not known", async (t) => {
+  const [first] = LARGE_FLEET;
+  const view = viewAmong(LARGE_FLEET.slice(0, 1), first as Member, LARGE_FLEET);
+  t.equal(view.countBoxes(), LARGE_FLEET.length);
+  t.equal(view.slackShare().share, sharesAmong(LARGE_FLEET)[0]);
 });
 
 t.test("coldLeafCallers() includes boxes that are considered dead", async (t) => {
--- a/fleet/mod.ts
+++ b/fleet/mod.ts
@@ -4,9 +4,11 @@
  *
  * @module
  */
+export * from "./box_weight.js";
 export * from "./fleet_link.js";
 export * from "./fleet_messages.js";
 export * from "./fleet_view.js";
+export * from "./known_fleet_size.js";
 export * from "./relay_places.js";
 export * from "./self_member.js";
 export * from "./serving_boxes.js";
--- a/model/mod.ts
+++ b/model/mod.ts
@@ -5,6 +5,7 @@
  */
 export * from "./catalog_object.js";
 export type * from "./evacuation_update.js";
+export type * from "./fleet_size.js";
 export * from "./limits.js";
 export * from "./member.js";
 export * from "./query.js";
