Time limits of lapsed leafs are shortened by the time that a peer's answer was under way

The same cause as in relay requests: a peer states for how long a leaf whose entry is gone may still be used, and the box that takes it over counted from when it read the answer, up to a second later. Callers could be sent to a leaf that long after it had gone (DRAIN). Evidence: the test in peer_catch_up_test, red before: 1,500 ms left after an answer that took 400 ms. The time since the request was sent is subtracted, which is at least what the answer was under way.

--- a/cluster_state/peer_catch_up.ts
+++ b/cluster_state/peer_catch_up.ts
@@ -4,11 +4,12 @@
  * @module
  */
 import { Client } from "undici";
+import { nowMs } from "../clock/mod.js";
 import type { SyncProgress } from "../fleet/mod.js";
 import type { Member } from "../model/mod.js";
 import type { BoxTelemetry } from "../telemetry/mod.js";
 import type { ClusterState } from "./cluster_state.js";
-import { clusterStateUrl, decodeSharedState } from "./shared_state.js";
+import { clusterStateUrl, decodeSharedState, shortenTimeLimits } from "./shared_state.js";
 
 /** Timeout of a request to a peer, in milliseconds. */
 const PEER_REQUEST_TIMEOUT_MS = 1_000;
@@ -95,15 +96,16 @@
     const { address, peerPort, box } = member;
     const { clusterState, isLocal, onRemoteUpdate, telemetry } = this.#options;
     const client = new Client(`http://${address}:${peerPort}`);
+    const requestedAtMs = nowMs();
     try {
       const response = await client.request({
         method: "GET",
         path: clusterStateUrl(clusterState.progress),
         signal: AbortSignal.timeout(PEER_REQUEST_TIMEOUT_MS),
       });
-      clusterState.mergeSharedState(
-        decodeSharedState(Buffer.from(await response.body.arrayBuffer())),
-      );
+      const shared = decodeSharedState(Buffer.from(await response.body.arrayBuffer()));
+      // The peer stated the limits at some time after the request was sent.
+      clusterState.mergeSharedState(shortenTimeLimits(shared, nowMs() - requestedAtMs));
       telemetry.event("info", "fleet: fetched state from peer", { member: box });
       if (!isLocal(member)) {
         onRemoteUpdate();
--- a/cluster_state/peer_catch_up_test.ts
+++ b/cluster_state/peer_catch_up_test.ts
@@ -3,14 +3,17 @@
 import type { Member } from "../model/mod.js";
 import { sampleMember } from "../standins/sample_member.js";
 import { PeerCatchUp } from "./peer_catch_up.js";
-import { encodeSharedState } from "./shared_state.js";
+import { encodeSharedState, type SharedState } from "./shared_state.js";
 
 const LOOPBACK = "127.0.0.1";
 
-/** Starts a peer that serves a list of leafs at revision 7. */
-async function startPeer(t: Test): Promise<Member> {
-  const shared = encodeSharedState({ leafs: [], lapsed: [], leafsRevision: 7 });
-  const server: Server = createServer((_request, response) => response.end(shared));
+const SHARED: SharedState = { leafs: [], lapsed: [], leafsRevision: 7 };
+
+/** Starts a peer that serves state after a delay, in milliseconds. */
+async function startPeer(t: Test, shared = SHARED, delayMs = 0): Promise<Member> {
+  const server: Server = createServer((_request, response) => {
+    setTimeout(() => response.end(encodeSharedState(shared)), delayMs);
+  });
   await new Promise<void>((resolve) => server.listen(0, LOOPBACK, resolve));
   t.teardown(() => server.close());
   t.teardown(() => server.closeAllConnections());
@@ -110,3 +113,28 @@
   });
   t.same(fetchedFrom, ["first", "second"]);
 });
+
+// A response that waits, in the network or at a stalled box, would otherwise prolong the use of a leaf
+// whose entry is gone.
+t.test("the time for which a response was under way is subtracted from time limits", async (t) => {
+  const shared = { ...SHARED, lapsed: [{ leafId: "a", leftMs: 1_500 }] };
+  const peer = await startPeer(t, shared, 400);
+  let leftMs = 0;
+  await new Promise<void>((resolve) => {
+    const catchUp = new PeerCatchUp({
+      box: "self",
+      clusterState: {
+        ...{ isWatcher: false, isStoreReachable: true },
+        progress: { configurationVersion: 1, leafsRevision: 5 },
+        mergeSharedState: ({ lapsed }) => {
+          leftMs = lapsed[0]?.leftMs ?? 0;
+        },
+      },
+      isLocal: () => true,
+      onRemoteUpdate: () => undefined,
+      telemetry: { event: () => setImmediate(resolve) },
+    });
+    catchUp.catchUp(peer, { configurationVersion: 1, leafsRevision: 7 });
+  });
+  t.ok(leftMs > 0 && leftMs <= 1_100, `${leftMs} ms left`);
+});
--- a/cluster_state/shared_state.ts
+++ b/cluster_state/shared_state.ts
@@ -79,6 +79,20 @@
   }, merged);
 }
 
+/**
+ * Subtracts the time for which a response may have been under way from the time limits in it.
+ *
+ * @param shared - State received from a peer.
+ * @param elapsedMs - Time since the request for it was sent, in milliseconds.
+ * @returns The state with shorter time limits.
+ */
+export function shortenTimeLimits(shared: SharedState, elapsedMs: number): SharedState {
+  const lapsed = shared.lapsed.map(({ leafId, leftMs }) => {
+    return { leafId, leftMs: Math.max(0, leftMs - elapsedMs) };
+  });
+  return { ...shared, lapsed };
+}
+
 /**
  * Encodes shared state.
  *
