Calls to cold leafs wait until all listed boxes are known

Evidence: the test in fleet_view_test, red before. A box that knows fewer boxes than the store lists sends no calls to cold leafs whose service sets a limit. Boxes that are gone for good are removed from the list as soon as they are forgotten (330 s after the start of the box that removes them in place of 600), so that nobody waits for them for long.

--- a/cluster_state/fleet_roster.ts
+++ b/cluster_state/fleet_roster.ts
@@ -6,6 +6,7 @@
  */
 import { ok } from "neverthrow";
 import { sumOfWeights } from "../fleet/mod.js";
+import { DEAD_RETENTION_MS } from "../membership/mod.js";
 import type { FleetSize } from "../model/mod.js";
 import {
   decodeFleetEntry,
@@ -32,8 +33,11 @@
 /** Time until the list is read again, in milliseconds; doubled each time up to the maximum. */
 const REFRESH_DELAY_MS = { min: 5_000, max: 60_000 } as const;
 
-/** Time after its start from which a box removes boxes that it does not know, in milliseconds. */
-const MIN_REMOVAL_UPTIME_MS = 600_000;
+/**
+ * Time after its start from which a box removes boxes that it does not know, in milliseconds. By
+ * then it has known each running box, and has remembered each dead one for as long as others.
+ */
+const MIN_REMOVAL_UPTIME_MS = DEAD_RETENTION_MS + 30_000;
 
 /** Share of the listed boxes that must be running for others to be removed. */
 const MIN_RUNNING_SHARE = 0.5;
@@ -86,7 +90,9 @@
     if (this.#isUpdating || nowMs < this.#retryAtMs) {
       return;
     }
-    if (this.#isIncompleteFor(nowMs) || this.#takeRefresh(nowMs)) {
+    const isDue =
+      this.#isIncompleteFor(nowMs) || this.#listsRemovedBoxes() || this.#takeRefresh(nowMs);
+    if (isDue) {
       void this.update();
     }
   }
@@ -134,7 +140,7 @@
   #boxesToList(listed: BoxCores): BoxCores {
     const running = this.#options.runningBoxes();
     const known = this.#options.knownBoxes();
-    const mayRemove = this.#mayRemove(listed, running);
+    const mayRemove = this.#mayRemove(listed.size, running);
     const kept = [...listed].filter(([box]) => !mayRemove || known.has(box));
     return new Map([...kept, ...running]);
   }
@@ -143,9 +149,20 @@
    * Whether this box may remove boxes that it does not know. One that is disconnected from most
    * others may not, as these continue to run.
    */
-  #mayRemove(listed: BoxCores, running: BoxCores): boolean {
+  #mayRemove(listedCount: number, running: BoxCores): boolean {
     const uptimeMs = this.#options.nowMs() - this.#startedAtMs;
-    return uptimeMs >= MIN_REMOVAL_UPTIME_MS && running.size >= listed.size * MIN_RUNNING_SHARE;
+    return uptimeMs >= MIN_REMOVAL_UPTIME_MS && running.size >= listedCount * MIN_RUNNING_SHARE;
+  }
+
+  /** Whether this box is to remove boxes that it does not know. */
+  #listsRemovedBoxes(): boolean {
+    const { knownBoxes, rank, runningBoxes, size } = this.#options;
+    const listedCount = size()?.boxCount ?? 0;
+    return (
+      this.#mayRemove(listedCount, runningBoxes()) &&
+      knownBoxes().size < listedCount &&
+      rank() === 0
+    );
   }
 
   /** Whether running boxes have been missing from the list for long enough. */
@@ -157,8 +174,8 @@
       return false;
     }
     this.#incompleteSinceMs ??= nowMs;
-    const waitedMs = nowMs - this.#incompleteSinceMs;
-    return waitedMs >= PEER_DISCOVERY_MS && waitedMs >= PEER_DISCOVERY_MS + rank() * RANK_DELAY_MS;
+    const waitedMs = nowMs - this.#incompleteSinceMs - PEER_DISCOVERY_MS;
+    return waitedMs >= 0 && waitedMs >= rank() * RANK_DELAY_MS;
   }
 
   /** Whether the first box is to read the list again, as boxes that it cannot reach may change it. */
--- a/fleet/fleet_view.ts
+++ b/fleet/fleet_view.ts
@@ -223,8 +223,8 @@
   /**
    * Returns the boxes that may call leafs of a data centre while these are cold: the boxes that
    * serve its region. Dead ones are included, as a disconnected box continues to call. The result
-   * is empty until another box is known, as otherwise each of several boxes that start together
-   * would take the entire limit.
+   * is empty until all boxes that the store lists are known, as otherwise each of several boxes that
+   * start together would take too large a part of the limit.
    *
    * @param dataCentre - Name of the data centre.
    * @returns The ids of the boxes.
@@ -237,10 +237,11 @@
   }
 
   #findColdLeafCallers(dataCentre: string): ReadonlyArray<string> {
-    const { members, settings } = this.#options;
+    const { fleetSize, members, settings } = this.#options;
     const { regions } = settings();
+    const isComplete = members().length >= (fleetSize()?.boxCount ?? Number.POSITIVE_INFINITY);
     const known = members().filter(({ state }) => state !== "leaving");
-    if (known.length < 2) {
+    if (!isComplete || known.length < 2) {
       return [];
     }
     const region = regions.get(dataCentre);
--- a/fleet/fleet_view_test.ts
+++ b/fleet/fleet_view_test.ts
@@ -191,3 +191,10 @@
     "empty while no other box is known",
   );
 });
+
+t.test("coldLeafCallers() is empty while a listed box is not known", async (t) => {
+  const [self] = MEMBERS;
+  const known = MEMBERS.slice(0, 3);
+  t.same(viewAmong(known, self as Member, MEMBERS).coldLeafCallers("hall-a"), []);
+  t.same(viewAmong(known, self as Member, []).coldLeafCallers("hall-a"), [], "size unknown");
+});
