--- a/extra_calls/extra_call_budgets.ts
+++ b/extra_calls/extra_call_budgets.ts
@@ -17,11 +17,14 @@
  */
 const SHARE_USED = 0.9;
 
+/** Fraction of the slack that all boxes use together after running for a full window. */
+const SLACK_USED = 0.7;
+
 /**
- * Fraction of the slack that all boxes use together. The remainder covers calls that reach their
- * leafs late.
+ * Fraction of the slack before that, as the previous run may have spent its own. All boxes may
+ * restart three times within a window: 0.7 + 3 * 0.1 = 1.
  */
-const SLACK_USED = 0.8;
+const START_SLACK_USED = 0.1;
 
 /** Added to the window, as calls reach their leafs after they are counted, in milliseconds. */
 const IN_FLIGHT_MS = 500;
@@ -110,9 +113,9 @@
 
   #allowed({ requests }: ServiceCounts, nowMs: number): number {
     const { share, slackCalls, slackShare } = this.#terms;
-    // The previous run of this process may have spent its part of the same window.
     const isStarting = nowMs - this.#startedAtMs < this.#countedMs;
-    const slack = isStarting ? 0 : slackCalls() * SLACK_USED * slackShare();
+    const slackUsed = isStarting ? START_SLACK_USED : SLACK_USED;
+    const slack = slackCalls() * slackUsed * slackShare();
     return requests.count(nowMs) * share() * SHARE_USED + slack;
   }
 
