--- a/cluster_state/fleet_roster.ts
+++ b/cluster_state/fleet_roster.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import { ok } from "neverthrow";
+import { ok, type Result } from "neverthrow";
 import { sumOfWeights } from "../fleet/mod.js";
 import { DEAD_RETENTION_MS } from "../membership/mod.js";
 import type { FleetSize } from "../model/mod.js";
@@ -14,6 +14,7 @@
   FLEET_NAME,
   type FleetEntry,
   type StoreClient,
+  type StoreError,
   type StoreObject,
 } from "../platform/mod.js";
 import type { BoxTelemetry } from "../telemetry/mod.js";
@@ -42,6 +43,9 @@
 /** Share of the listed boxes that must be running for others to be removed. */
 const MIN_RUNNING_SHARE = 0.5;
 
+/** Number of steps into which a unit of weight is divided. */
+const WEIGHT_ROUNDING = 1_000;
+
 /** Processor cores by box. */
 type BoxCores = ReadonlyMap<string, number>;
 
@@ -99,25 +103,34 @@
 
   /** Reads the list, and writes it if running boxes are missing or listed ones no longer exist. */
   async update(): Promise<void> {
-    const { box, nowMs, store, telemetry } = this.#options;
     this.#isUpdating = true;
-    const read = await store.read(FLEET_KIND, FLEET_NAME);
-    const isMissing = read.isErr() && read.error.kind === "notFound";
-    const written =
-      read.isErr() && !isMissing ? read : await this.#write(read.isErr() ? undefined : read.value);
+    const written = await this.#readAndWrite();
     this.#isUpdating = false;
     const entry = written.isErr() ? undefined : decodeFleetEntry(written.value.spec);
     if (entry === undefined) {
-      this.#retryAtMs = nowMs() + RETRY_DELAY_MS;
       const reason = written.isErr() ? written.error.message : "Cannot decode the list of boxes";
-      telemetry.event("warn", "fleet: list of boxes was not updated", { box, reason });
-      return;
+      this.#retryLater(reason);
+    } else {
+      this.#options.onSize(sizeOf(entry));
     }
-    this.#options.onSize(sizeOf(entry));
+  }
+
+  async #readAndWrite(): Promise<Result<StoreObject, StoreError>> {
+    const read = await this.#options.store.read(FLEET_KIND, FLEET_NAME);
+    if (read.isOk()) {
+      return this.#write(read.value);
+    }
+    return read.error.kind === "notFound" ? this.#write(undefined) : read;
+  }
+
+  #retryLater(reason: string): void {
+    const { box, nowMs, telemetry } = this.#options;
+    this.#retryAtMs = nowMs() + RETRY_DELAY_MS;
+    telemetry.event("warn", "fleet: list of boxes was not updated", { box, reason });
   }
 
   /** Writes the list if it differs from what it should contain. */
-  async #write(object: StoreObject | undefined): ReturnType<StoreClient["replace"]> {
+  async #write(object: StoreObject | undefined): Promise<Result<StoreObject, StoreError>> {
     const { size, store, telemetry } = this.#options;
     const before = object === undefined ? undefined : decodeFleetEntry(object.spec);
     const boxes = this.#boxesToList(toMap(before) ?? this.#options.knownBoxes());
@@ -200,5 +213,7 @@
 
 function sizeOf({ generation, boxes }: FleetEntry): FleetSize {
   const cores = Object.values(boxes);
-  return { generation, boxCount: cores.length, totalWeight: sumOfWeights(cores) };
+  // Rounded up, as each datagram contains it.
+  const totalWeight = Math.ceil(sumOfWeights(cores) * WEIGHT_ROUNDING) / WEIGHT_ROUNDING;
+  return { generation, boxCount: cores.length, totalWeight };
 }
