Relay requests state times by a new clock after a possible suspension of their sender

Found while reading the mend of the time under way: a sender that was suspended, where its clock does not include that, would seem to send everything as late as it was suspended, and its requests would be declined for up to a minute. It names another clock after each jump that may be a suspension, so that receivers begin a new reference. time_jump_test.

--- a/box/box_shell.ts
+++ b/box/box_shell.ts
@@ -257,6 +257,7 @@
     const jumpListeners = {
       fleet: this.#fleet,
       view: this.#view,
+      relays: this.#relays,
       runner: this.#runner,
       telemetry: this.#telemetry,
     };
--- a/box/time_jump.ts
+++ b/box/time_jump.ts
@@ -5,6 +5,7 @@
  */
 import type { ClockJump } from "../clock/mod.js";
 import type { FleetLink, FleetView } from "../fleet/mod.js";
+import type { RelayCalls } from "../relay/mod.js";
 import type { BoxTelemetry } from "../telemetry/mod.js";
 import type { RequestRunner } from "./request_runner.js";
 
@@ -12,6 +13,7 @@
 export interface TimeJumpOptions {
   readonly fleet: Pick<FleetLink, "requestUpdates">;
   readonly view: Pick<FleetView, "updateRecipients">;
+  readonly relays: Pick<RelayCalls, "renewClock">;
   readonly runner: Pick<RequestRunner, "answerOverdue">;
   readonly telemetry: Pick<BoxTelemetry, "event">;
 }
@@ -26,7 +28,7 @@
  */
 export function handleTimeJump(
   { jumpMs, suspendedMs }: ClockJump,
-  { fleet, runner, telemetry, view }: TimeJumpOptions,
+  { fleet, relays, runner, telemetry, view }: TimeJumpOptions,
 ): void {
   telemetry.event("warn", "clock: time of day jumped", {
     jumpMs: Math.round(jumpMs),
@@ -35,6 +37,7 @@
   if (suspendedMs === 0) {
     return;
   }
+  relays.renewClock();
   fleet.requestUpdates(view.updateRecipients());
   if (suspendedMs !== undefined) {
     runner.answerOverdue();
--- a/box/time_jump_test.ts
+++ b/box/time_jump_test.ts
@@ -14,6 +14,7 @@
         requestUpdates: (members) => actions.push(`query ${members.map((each) => each.memberId)}`),
       },
       view: { updateRecipients: () => UPDATED_BOXES },
+      relays: { renewClock: () => actions.push("renew clock of relay requests") },
       runner: { answerOverdue: () => actions.push("answer overdue requests") },
       telemetry: { event: (_level, _sentence, fields) => actions.push(JSON.stringify(fields)) },
     },
@@ -24,6 +25,7 @@
 t.test("after a suspension other boxes are queried and overdue requests answered", async (t) => {
   t.same(jump(2_900.2), [
     '{"jumpMs":3000,"suspendedMs":2900}',
+    "renew clock of relay requests",
     "query box-2",
     "answer overdue requests",
   ]);
@@ -36,6 +38,10 @@
 t.test(
   "when a suspension is uncertain, other boxes are queried but no request is ended",
   async (t) => {
-    t.same(jump(undefined), ['{"jumpMs":3000,"suspendedMs":"unknown"}', "query box-2"]);
+    t.same(jump(undefined), [
+      '{"jumpMs":3000,"suspendedMs":"unknown"}',
+      "renew clock of relay requests",
+      "query box-2",
+    ]);
   },
 );
--- a/relay/relay_calls.ts
+++ b/relay/relay_calls.ts
@@ -81,7 +81,7 @@
   readonly #nowMs: () => number;
   readonly #eventLoopIdleMs: () => number;
   readonly #onActive: () => void;
-  readonly #clockId = randomBytes(CLOCK_ID_BYTES).toString("hex");
+  #clockId = newClockId();
   readonly #pools = new Map<string, Pool>();
   readonly #health = new Map<string, LeafHealth>();
   readonly #queueReports = new Map<string, QueueReport>();
@@ -198,6 +198,14 @@
     return { abandon: () => reader.abandon(), withdraw: () => undefined };
   }
 
+  /**
+   * States times by a new clock from now on. After a suspension of this box that its clock may not
+   * include, other boxes would otherwise take the time for a delay of its requests.
+   */
+  renewClock(): void {
+    this.#clockId = newClockId();
+  }
+
   /**
    * Aborts requests whose deadline has passed or whose connection is unresponsive. After an
    * unresponsive connection, none of the existing connections to that box is used again.
@@ -241,6 +249,10 @@
   }
 }
 
+function newClockId(): string {
+  return randomBytes(CLOCK_ID_BYTES).toString("hex");
+}
+
 function originOf({ address, peerPort }: Member): string {
   return `http://${address}:${peerPort}`;
 }
