--- a/fault_soak/invariant_checker.ts
+++ b/fault_soak/invariant_checker.ts
@@ -59,13 +59,22 @@
   readonly hasRoute: boolean;
 }
 
+/** A version that a box had, and when that was first seen, in milliseconds. */
+interface SeenVersion {
+  readonly version: number;
+  readonly seenAtMs: number;
+}
+
+const NO_VERSION: SeenVersion = { version: 0, seenAtMs: 0 };
+
 /** Checks the invariants of one run. */
 export class InvariantChecker {
   readonly #soak: SoakFleet;
   readonly #requests: Array<ObservedRequest> = [];
   readonly #notRun: Array<string> = [];
   readonly #interruptedByStop: Array<ObservedRequest> = [];
-  readonly #highestVersion = new Map<string, number>();
+  /** Highest version that each incarnation of a box had, and when its response arrived. */
+  readonly #highestVersion = new Map<string, SeenVersion>();
   readonly #versionRequests: Array<VersionRequest> = [];
   /** Violated invariants, each with details. */
   readonly broken: Array<string> = [];
@@ -169,13 +178,15 @@
       this.#versionRequests.push({ observed: request, version, hasRoute: statusCode !== 404 });
     }
     const key = `${box.box.name}/${incarnation}`;
-    const highest = this.#highestVersion.get(key) ?? 0;
+    const highest = this.#highestVersion.get(key) ?? NO_VERSION;
     if (statusCode === 404) {
-      this.#check("a configuration never reverts", version > highest, () => {
-        return `${key} had version ${highest} and has no version ${version} (${requestId})`;
+      this.#check("a configuration never reverts", version > highest.version, () => {
+        const sentAfterMs = Math.round(request.sentAtMs - highest.seenAtMs);
+        const lost = `${key} had version ${highest.version} and has no version ${version}`;
+        return `${lost} (${requestId}, sent ${sentAfterMs} ms after that was seen)`;
       });
-    } else if (statusCode !== 503) {
-      this.#highestVersion.set(key, Math.max(highest, version));
+    } else if (statusCode !== 503 && version > highest.version) {
+      this.#highestVersion.set(key, { version, seenAtMs: performance.now() });
     }
   }
 
