Fault soak: a restarted box's responses count for its new process from the end of the former one

Trace (box-16): the process before ended at 48:24.149 with version 3; the next one read version 2 at 48:25.156 from a store restored to an older copy, as it may, and answered two requests by it at 48:25.45, before the soak had read its line that it had started. The soak took both for the life before. The rule is of one life of a process, so the case is allowed. Now the life of a request is told by the number of processes of the box that had ended when it was sent; the check itself is as strict. The product's code is not touched.

--- a/fault_soak/fault_handlers.ts
+++ b/fault_soak/fault_handlers.ts
@@ -209,14 +209,12 @@
   boxKilled: onBox(async (chosen, forMs, { fleet }) => {
     chosen.box.process.signal("SIGKILL");
     await delay(forMs / 4);
-    await fleet.restart(chosen.box);
-    chosen.incarnation += 1;
+    await restart(chosen, fleet);
   }),
   boxStopped: onBox(async (chosen, _forMs, { fleet }) => {
     chosen.isStopping = true;
     chosen.box.process.signal("SIGTERM");
-    await fleet.restart(chosen.box);
-    chosen.incarnation += 1;
+    await restart(chosen, fleet);
     chosen.isStopping = false;
   }),
   configurationChanged: async (soak) => {
@@ -225,6 +223,13 @@
   },
 };
 
+async function restart(chosen: SoakBox, fleet: SoakFleet["fleet"]): Promise<void> {
+  await chosen.box.process.exited;
+  chosen.endedCount += 1;
+  await fleet.restart(chosen.box);
+  chosen.incarnation += 1;
+}
+
 function pick<T>(candidates: ReadonlyArray<T>, target: number): T | undefined {
   return candidates[target % Math.max(1, candidates.length)];
 }
--- a/fault_soak/invariant_checker.ts
+++ b/fault_soak/invariant_checker.ts
@@ -40,8 +40,8 @@
   readonly requestId: string;
   readonly path: string;
   readonly box: SoakBox;
-  /** Incarnation of the box that it was sent to. */
-  readonly incarnation: number;
+  /** Number of processes of the box that had ended when it was sent. */
+  readonly endedCount: number;
   /** When it was sent, on this process's clock, in milliseconds. */
   readonly sentAtMs: number;
   readonly deadlineMs: number;
@@ -73,7 +73,7 @@
   readonly #requests: Array<ObservedRequest> = [];
   readonly #notRun: Array<string> = [];
   readonly #interruptedByStop: Array<ObservedRequest> = [];
-  /** Highest version that each incarnation of a box had, and when its response arrived. */
+  /** Highest version that each process of a box had, and when its response arrived. */
   readonly #highestVersion = new Map<string, SeenVersion>();
   readonly #versionRequests: Array<VersionRequest> = [];
   /** Violated invariants, each with details. */
@@ -169,7 +169,7 @@
   }
 
   #checkVersion(request: ObservedRequest, statusCode: number): void {
-    const { box, incarnation, path, requestId } = request;
+    const { box, endedCount, path, requestId } = request;
     const version = Number(/^\/version-(\d+)\/$/.exec(path)?.[1] ?? Number.NaN);
     if (Number.isNaN(version)) {
       return;
@@ -177,7 +177,7 @@
     if (statusCode !== 503) {
       this.#versionRequests.push({ observed: request, version, hasRoute: statusCode !== 404 });
     }
-    const key = `${box.box.name}/${incarnation}`;
+    const key = `${box.box.name}/${endedCount}`;
     const highest = this.#highestVersion.get(key) ?? NO_VERSION;
     if (statusCode === 404) {
       this.#check("a configuration never reverts", version > highest.version, () => {
--- a/fault_soak/soak_callers.ts
+++ b/fault_soak/soak_callers.ts
@@ -65,7 +65,7 @@
    */
   async sendRequest(box: SoakBox, path: string): Promise<number | undefined> {
     const requestId = `request-${this.#nextId++}`;
-    const { incarnation } = box;
+    const { incarnation, endedCount } = box;
     const sentAtMs = performance.now();
     const method = path === `/${LEDGER}/` ? "POST" : "GET";
     const request = { path, requestId, method, host: HOST, deadlineMs: DEADLINE_MS } as const;
@@ -76,7 +76,7 @@
       requestId,
       path,
       box,
-      incarnation,
+      endedCount,
       sentAtMs,
       deadlineMs: DEADLINE_MS,
       duringStop,
--- a/fault_soak/soak_fleet.ts
+++ b/fault_soak/soak_fleet.ts
@@ -65,8 +65,10 @@
 export interface SoakBox {
   readonly box: PlatformBox;
   readonly storeLink: LinkProxy;
-  /** Number of processes started for it, to tell their responses apart. */
+  /** Number of processes started for it. */
   incarnation: number;
+  /** Number of its processes that have ended: the next one may respond before it counts as started. */
+  endedCount: number;
   /** Whether a fault is currently stopping or pausing its process. */
   hasProcessFault: boolean;
   /** Whether it is in a planned stop. */
@@ -211,7 +213,14 @@
   async #addBox(dataCentre: DataCentreName): Promise<void> {
     const storeLink = new LinkProxy(this.fleet.platform.port);
     const box = await this.fleet.addBox(dataCentre, await storeLink.open());
-    this.boxes.push({ box, storeLink, incarnation: 1, hasProcessFault: false, isStopping: false });
+    this.boxes.push({
+      box,
+      storeLink,
+      incarnation: 1,
+      endedCount: 0,
+      hasProcessFault: false,
+      isStopping: false,
+    });
   }
 }
 
