The callers of cold leafs are found anew when the size of the fleet changes

Found while reading the diff: the boxes that may call cold leafs are cached until a box changes, so that a box that asked before it knew the size of the fleet would have gone on with none.

--- a/box/box_shell.ts
+++ b/box/box_shell.ts
@@ -86,7 +86,7 @@
   readonly #callerServer: Server;
   readonly #servers: ReadonlyArray<ServerAtPort>;
   readonly #view: FleetView;
-  readonly #fleetSize = new KnownFleetSize();
+  readonly #fleetSize = new KnownFleetSize(() => this.#view.invalidate());
   readonly #roster: FleetRoster;
   readonly #slackReporter: SlackReporter;
   readonly #lifecycle: BoxLifecycle;
--- a/fleet/known_fleet_size.ts
+++ b/fleet/known_fleet_size.ts
@@ -7,8 +7,16 @@
 
 /** The newest known size of the fleet. */
 export class KnownFleetSize {
+  readonly #onChange: () => void;
   #current: FleetSize | undefined;
 
+  /**
+   * @param onChange - Called after each change.
+   */
+  constructor(onChange: () => void) {
+    this.#onChange = onChange;
+  }
+
   /** The size; `undefined` while it is unknown. */
   get current(): FleetSize | undefined {
     return this.#current;
@@ -27,6 +35,7 @@
       (size.generation === generation && size.totalWeight > totalWeight);
     if (isNewer) {
       this.#current = size;
+      this.#onChange();
     }
     return isNewer;
   }
