--- a/fault_soak/fault_handlers.ts
+++ b/fault_soak/fault_handlers.ts
@@ -61,27 +61,27 @@
 
 /** Handlers by kind of fault. */
 export const FAULT_HANDLERS: Readonly<Record<FaultKind, FaultHandler>> = {
-  leafDelayed: onLeaf(async ({ link }, forMs) => {
+  leafDelayed: onLeafLink(async ({ link }, forMs) => {
     link.injectFault({ delayMs: DELAY_MS.link });
     await delay(forMs);
     link.clearFaults();
   }),
-  leafReset: onLeaf(async ({ link }, forMs) => {
+  leafReset: onLeafLink(async ({ link }, forMs) => {
     link.reset();
     await delay(forMs / 2);
     link.reset();
   }),
-  leafCutOneWay: onLeaf(async ({ link }, forMs) => {
+  leafCutOneWay: onLeafLink(async ({ link }, forMs) => {
     link.injectFault({ blocksResponses: true });
     await delay(forMs);
     link.clearFaults();
   }),
-  leafSilent: onLeaf(async ({ link }, forMs) => {
+  leafSilent: onLeafLink(async ({ link }, forMs) => {
     link.injectFault({ blocksResponses: true, blocksRequests: true });
     await delay(forMs);
     link.clearFaults();
   }),
-  leafConnectionsSilent: onLeaf(async ({ link }) => link.stallOpenConnections()),
+  leafConnectionsSilent: onLeafLink(async ({ link }) => link.stallOpenConnections()),
   leafFull: onLeaf(async ({ leaf }, forMs) => {
     leaf.configure({ full: true });
     await delay(forMs);
@@ -234,16 +234,23 @@
   return candidates[target % Math.max(1, candidates.length)];
 }
 
-/** Builds a handler for faults of a leaf or its link. */
+/** Builds a handler for faults of a leaf's link, and records the period of the fault. */
+function onLeafLink(act: (chosen: SoakLeaf, forMs: number) => Promise<void>): FaultHandler {
+  return onLeaf(async (chosen, forMs) => {
+    const fromMs = performance.now();
+    await act(chosen, forMs);
+    chosen.linkFaults.push({ fromMs, untilMs: performance.now() });
+  });
+}
+
+/** Builds a handler for faults of a leaf. */
 function onLeaf(act: (chosen: SoakLeaf, forMs: number) => Promise<void>): FaultHandler {
   return async ({ leafs }, { target, forMs }) => {
     const chosen = pick(leafs, target);
     if (chosen === undefined) {
       return false;
     }
-    const fromMs = performance.now();
     await act(chosen, forMs);
-    chosen.linkFaults.push({ fromMs, untilMs: performance.now() });
     return true;
   };
 }
