--- a/box/request_handler.ts
+++ b/box/request_handler.ts
@@ -6,7 +6,7 @@
  */
 
 import type { ClusterState } from "../cluster_state/mod.js";
-import type { Reply } from "../request/mod.js";
+import { countMissingParts, type MissingPartCause, type Reply } from "../request/mod.js";
 import { findRoute, type Route, type ServiceCredits, selectService } from "../routing/mod.js";
 import type { BoxTelemetry, LogFields } from "../telemetry/mod.js";
 import type { IncomingRequest, ReplyCallback } from "./caller_server.js";
@@ -17,6 +17,8 @@
 /** Time after which a caller may retry while no configuration is known, in milliseconds. */
 const STARTING_RETRY_MS = 300;
 
+const NONE_MISSING: ReadonlyMap<MissingPartCause, number> = new Map();
+
 /** Options of {@link RequestHandler}. */
 export interface RequestHandlerOptions {
   readonly nowMs: () => number;
@@ -141,11 +143,16 @@
     const route = terms.route.name;
     this.#options.telemetry.requests.inc({ route, outcome: reply.kind });
     this.#options.telemetry.requestMs.observe({ route }, tookMs);
+    const missing = reply.kind === "merged" ? countMissingParts(summary.state) : NONE_MISSING;
+    for (const [cause, count] of missing) {
+      this.#options.telemetry.missingParts.inc({ cause }, count);
+    }
     this.#options.telemetry.logRequest("request: answered", {
       outcome: reply.kind,
       ...(reply.kind === "failed" || reply.kind === "notRun" ? { reason: reply.reason } : {}),
       ...(reply.kind === "notRun" ? refusalFields(reply) : {}),
       ...(reply.kind === "passed" ? { statusCode: reply.answer.statusCode } : {}),
+      ...(missing.size === 0 ? {} : { missing: Object.fromEntries(missing) }),
       ...this.#summaryFields(summary, version),
     });
   }
--- a/request/mod.ts
+++ b/request/mod.ts
@@ -5,6 +5,7 @@
  * @module
  */
 export * from "./failed_part.js";
+export * from "./missing_parts.js";
 export * from "./record_merge.js";
 export * from "./record_threshold.js";
 export * from "./request_core.js";
--- a/telemetry/box_telemetry.ts
+++ b/telemetry/box_telemetry.ts
@@ -57,6 +57,7 @@
   readonly attempts: LabeledCounter;
   readonly extraCalls: LabeledCounter;
   readonly relayedParts: Counter;
+  readonly missingParts: Counter<"cause">;
   readonly relayDelayMs: Histogram;
   readonly quarantineChanges: LabeledCounter;
   readonly storeAnswers: Counter<"kind" | "outcome">;
@@ -148,6 +149,12 @@
       help: "Parts that this box got and merged for boxes of other regions",
       registers,
     }),
+    missingParts: new Counter({
+      name: "rackvale_missing_parts_total",
+      help: "Parts that merged answers lacked, by cause",
+      labelNames: ["cause"],
+      registers,
+    }),
     relayDelayMs: new Histogram({
       name: "rackvale_relay_delay_ms",
       help: "Time for which requests of other boxes were under way beyond the usual, in milliseconds",
