Retries go round a box whose first frame is late

Callers saw answers after their objective, some without parts: with the only box near the leafs stopped for 600 ms just after a request was sent, second calls went through the same box (log: "retried through box-12" at 195 ms, answered at 619 ms with 2 of 4 parts). A box was passed over only after three times its mean latency without an answer, and each stall raises that mean.

Cause: the sign that a relaying box gives, its first frame at the wait limit even without parts, was looked at a second later. Now a retry or hedge is not sent through a box from which a first frame is overdue (wait limit and a round trip, at a loop that was idle for a third of it); without another box there it goes to the leaf directly, within the same budget. First calls prefer other boxes, but still go through a late one rather than directly: under load all boxes may be late, and direct calls to a region's leafs would each need a connection.

--- a/box/_relay_requests.ts
+++ b/box/_relay_requests.ts
@@ -7,7 +7,7 @@
 import type { LeafCalls, OpenCall } from "../calls/mod.js";
 import type { Member } from "../model/mod.js";
 import type { Quarantine } from "../quarantine/mod.js";
-import type { RelayCalls, RelayRequest } from "../relay/mod.js";
+import type { RelayCalls, RelayListener, RelayRequest } from "../relay/mod.js";
 import {
   type AttemptOutcome,
   failedPartOutcome,
@@ -65,7 +65,8 @@
    *
    * @param effect - The shards and the time for which the box may wait for them.
    */
-  sendMerged({ attemptId, box, calls, deadlineAtMs, waitLimitMs }: RelayEffect): void {
+  sendMerged(effect: RelayEffect): void {
+    const { attemptId, box, calls, deadlineAtMs, firstFrameMs, waitLimitMs } = effect;
     const { onEnded, onOpen, dispatch } = this.#options;
     const recorders = this.#createRecorders(calls);
     const services = calls.map(({ service }) => service);
@@ -77,7 +78,7 @@
       services,
       waitLimitMs: waitMs,
     };
-    const open = this.#send(box, relayRequest, {
+    const listener: RelayListener = {
       onParts: (parts) => {
         this.#recordResults(box, parts, recorders);
         dispatch({ kind: "partsRelayed", attemptId, parts });
@@ -89,7 +90,8 @@
         }
         dispatch({ kind: "attemptEnded", attemptId, outcome: MISSING_PART });
       },
-    });
+    };
+    const open = this.#send(box, relayRequest, listener, { firstFrameMs });
     onOpen(attemptId, open);
   }
 
@@ -158,14 +160,15 @@
   #send(
     box: string,
     relayRequest: RelayRequest,
-    listener: { onParts(parts: RelayedParts): void; onEnd(): void },
+    listener: RelayListener,
+    options: { readonly firstFrameMs?: number } = {},
   ): OpenCall {
     const member = this.#options.chosenBox(box);
     if (member === undefined) {
       queueMicrotask(() => listener.onEnd());
       return { abandon: () => undefined, withdraw: () => undefined };
     }
-    return this.#options.relays.send(member, relayRequest, listener);
+    return this.#options.relays.send(member, relayRequest, listener, options);
   }
 
   #createRecorders(
--- a/box/_run_context.ts
+++ b/box/_run_context.ts
@@ -9,6 +9,7 @@
 import type { ExtraCallKind } from "../limits/mod.js";
 import type { Member } from "../model/mod.js";
 import type { CallPermission } from "../quarantine/mod.js";
+import type { BoxSelection } from "../relay/mod.js";
 import type { BoxChoice, LeafChoice, RequestContext } from "../request/mod.js";
 import type { RouteKey } from "../routing/mod.js";
 import type { RunnerOptions } from "./_runner_options.js";
@@ -116,9 +117,9 @@
     };
   }
 
-  chooseBox(relayPlace: string): BoxChoice | undefined {
+  chooseBox(relayPlace: string, selection: BoxSelection = {}): BoxChoice | undefined {
     const { places, relays } = this.#box;
-    const chosen = relays.choose(places.boxesAt(relayPlace));
+    const chosen = relays.choose(places.boxesAt(relayPlace), selection);
     if (chosen === undefined) {
       return undefined;
     }
--- a/relay/relay_calls.ts
+++ b/relay/relay_calls.ts
@@ -40,6 +40,16 @@
 /** Time after its deadline at which a request is aborted, in milliseconds. */
 const OVERDUE_MARGIN_MS = 100;
 
+/**
+ * Fraction of the time allowed for the first frame for which the event loop must have been idle
+ * before a box counts as unresponsive. While this process is stalled, the frame may have arrived
+ * without having been read.
+ */
+const MIN_IDLE_FRAME_SHARE = 0.35;
+
+/** Load of a box whose first frame is late, in requests: more than the requests open at a box. */
+const LATE_LOAD = 100_000;
+
 /** Number of random bytes that identify this process's clock; few, as each request contains them. */
 const CLOCK_ID_BYTES = 4;
 
@@ -56,17 +66,33 @@
   readonly atMs: number;
 }
 
+/** When the first frame of a request should have been received. */
+interface FirstFrameLimit {
+  /** Time at which the box counts as unresponsive, in milliseconds. */
+  readonly atMs: number;
+  /** Event-loop idle time that must have been reached by then, in milliseconds. */
+  readonly atIdleMs: number;
+}
+
 /** A request that has not ended. */
 interface OpenRequest {
+  readonly memberId: string;
   readonly reader: RelayResponseReader;
   readonly pool: Pool;
   readonly origin: string;
+  readonly firstFrame: FirstFrameLimit | undefined;
   /** Time at which the connection is closed if nothing has been received, in milliseconds. */
   readonly unresponsiveAtMs: number;
   /** Time at which the request is aborted in any case, in milliseconds. */
   readonly overdueAtMs: number;
 }
 
+/** How a box is selected. */
+export interface BoxSelection {
+  /** Whether boxes whose first frame is late must not be selected. */
+  readonly excludesLate?: boolean;
+}
+
 /** Options of `RelayCalls`. */
 export interface RelayCallsOptions {
   readonly nowMs: () => number;
@@ -103,21 +129,30 @@
   }
 
   /**
-   * Selects the responsive box with the fewest open requests.
+   * Selects the responsive box with the fewest open requests. Boxes whose first frame is late are
+   * selected only if there is no other.
    *
    * @param members - Candidate boxes of a region.
+   * @param options - Whether boxes whose first frame is late must not be selected.
    * @returns The box, or `undefined` if none is available.
    */
-  choose(members: ReadonlyArray<Member>): ChosenBox | undefined {
+  choose(
+    members: ReadonlyArray<Member>,
+    { excludesLate = false }: BoxSelection = {},
+  ): ChosenBox | undefined {
     const now = this.#nowMs();
+    const late = this.#lateMemberIds(now);
     let best: ChosenBox | undefined;
     let minLoad = Number.POSITIVE_INFINITY;
     for (const member of members) {
       const health = this.#healthOf(member);
+      const isLate = late.has(member.memberId);
       const isAvoided =
-        health.avoidUntilMs > now || isUnresponsive(health, this.#eventLoopIdleMs());
+        health.avoidUntilMs > now ||
+        (isLate && excludesLate) ||
+        isUnresponsive(health, this.#eventLoopIdleMs());
       // Ties are broken at random, so that boxes started together do not all select the same one.
-      const load = health.openCalls.length + Math.random();
+      const load = health.openCalls.length + (isLate ? LATE_LOAD : 0) + Math.random();
       if (!isAvoided && load < minLoad) {
         const typicalLatencyMs = health.meanMs === 0 ? ASSUMED_LATENCY_MS : health.meanMs;
         best = { member, typicalLatencyMs };
@@ -150,9 +185,16 @@
    * @param member - The relaying box.
    * @param request - The relay request.
    * @param listener - Receives the results.
+   * @param options - Time within which the first frame is expected, in milliseconds. A box that
+   *   exceeds it is not selected until a frame has arrived.
    * @returns A handle to abandon the request.
    */
-  send(member: Member, request: RelayRequest, listener: RelayListener): OpenCall {
+  send(
+    member: Member,
+    request: RelayRequest,
+    listener: RelayListener,
+    { firstFrameMs }: { readonly firstFrameMs?: number } = {},
+  ): OpenCall {
     const callId = this.#nextCallId;
     this.#nextCallId += 1;
     const sent = recordCallSent(this.#healthOf(member), {
@@ -182,7 +224,10 @@
     if (this.#open.size === 0) {
       this.#onActive();
     }
-    this.#open.set(callId, { reader, pool, origin, unresponsiveAtMs, overdueAtMs });
+    const { memberId } = member;
+    const firstFrame = firstFrameMs === undefined ? undefined : this.#firstFrameLimit(firstFrameMs);
+    const open = { memberId, reader, pool, origin, firstFrame, unresponsiveAtMs, overdueAtMs };
+    this.#open.set(callId, open);
     pool.dispatch(
       {
         method: "POST",
@@ -226,6 +271,23 @@
     }
   }
 
+  /** Returns the boxes with an open request whose first frame is late. */
+  #lateMemberIds(nowMs: number): ReadonlySet<string> {
+    const late = [...this.#open.values()].filter(({ firstFrame, reader }) => {
+      return firstFrame !== undefined && !reader.hasResult && this.#isPast(firstFrame, nowMs);
+    });
+    return new Set(late.map(({ memberId }) => memberId));
+  }
+
+  #firstFrameLimit(firstFrameMs: number): FirstFrameLimit {
+    const idleMs = firstFrameMs * MIN_IDLE_FRAME_SHARE;
+    return { atMs: this.#nowMs() + firstFrameMs, atIdleMs: this.#eventLoopIdleMs() + idleMs };
+  }
+
+  #isPast({ atMs, atIdleMs }: FirstFrameLimit, nowMs: number): boolean {
+    return nowMs >= atMs && this.#eventLoopIdleMs() >= atIdleMs;
+  }
+
   #sentTime(): string {
     return encodeSentTime({ clockId: this.#clockId, sentAtMs: this.#nowMs() });
   }
--- a/relay/relay_calls_test.ts
+++ b/relay/relay_calls_test.ts
@@ -96,3 +96,30 @@
   relays.abortOverdue();
   t.equal(await answered, true);
 });
+
+t.test("a box whose first frame is late is not selected for a retry", async (t) => {
+  const { countUnanswered, member, makeUnresponsive } = await startBox(t);
+  let nowMs = 0;
+  let idleMs = 0;
+  const relays = new RelayCalls({ nowMs: () => nowMs, eventLoopIdleMs: () => idleMs });
+  const isSelected = (): boolean => relays.choose([member], { excludesLate: true }) !== undefined;
+  t.equal(await send(relays, member), true, "the first request is answered");
+  makeUnresponsive();
+  await new Promise((resolve) => setImmediate(resolve));
+  const listener = { onParts: () => undefined, onEnd: () => undefined };
+  const open = relays.send(member, REQUEST, listener, { firstFrameMs: 30 });
+  await waitUntil(async () => countUnanswered() === 1, "the request has reached the box");
+  nowMs = 29;
+  idleMs = 29;
+  t.equal(isSelected(), true, "before its first frame is due");
+  nowMs = 30;
+  idleMs = 5;
+  t.equal(isSelected(), true, "while this process has hardly had time to read it");
+  idleMs = 30;
+  t.equal(isSelected(), false, "once its first frame is late");
+  t.equal(relays.choose([member])?.member, member, "first calls may still go through it");
+  const prompt = sampleMember({ ...member, memberId: "prompt" });
+  t.equal(relays.choose([member, prompt])?.member, prompt, "but prefer another box");
+  open.abandon();
+  t.equal(isSelected(), true, "once no request waits for it");
+});
--- a/request/_attempts.ts
+++ b/request/_attempts.ts
@@ -123,6 +123,7 @@
       calls: relayed,
       deadlineAtMs,
       waitLimitMs,
+      firstFrameMs: minHedgeDelayMs,
     },
   );
 }
--- a/request/_remote_calls.ts
+++ b/request/_remote_calls.ts
@@ -30,7 +30,8 @@
   const batched = new Set<RequestEffect>();
   const minRecord = recordThreshold(finalParts(state), target);
   for (const [place, calls] of places) {
-    const box = context.chooseBox(place);
+    // These calls replace or supplement earlier ones, possibly through a box that has stalled.
+    const box = context.chooseBox(place, { excludesLate: true });
     if (box !== undefined) {
       const { deadlineAtMs } = state.terms;
       const remoteCalls = calls.map((call) => toRemoteCall(state, call));
--- a/request/_request_driver.ts
+++ b/request/_request_driver.ts
@@ -79,6 +79,8 @@
   readonly persistentQueues: boolean;
   /** Whether another region has an available box. */
   hasBox = true;
+  /** Whether that box is late with its first parts for some request. */
+  isBoxLate = false;
   /**
    * How the next call may be made. Deferred from the start of a trial call until a test changes it.
    */
@@ -130,8 +132,9 @@
           ? undefined
           : { leafId, expectedMs: 5, relayPlace, queueMs, failureRate };
       },
-      chooseBox: (region) => {
-        return this.hasBox ? { box: `box in ${region}`, expectedMs: 5 } : undefined;
+      chooseBox: (region, { excludesLate = false } = {}) => {
+        const isAvailable = this.hasBox && !(excludesLate && this.isBoxLate);
+        return isAvailable ? { box: `box in ${region}`, expectedMs: 5 } : undefined;
       },
       recordQueue: (_index, queueMs) => (this.persistentQueues ? queueMs : 0),
       extraCallsLeft: () => this.extraCalls,
--- a/request/relayed_test.ts
+++ b/request/relayed_test.ts
@@ -150,3 +150,10 @@
     t.match(driver.effects, [{ kind: "wake", timer: "hedge" }]);
   },
 );
+
+t.test("hedges are sent directly if the only box near the leafs is late", async (t) => {
+  const driver = new RequestDriver(GATHER, { remote: true, remoteLeafs: ["a", "b"] });
+  driver.isBoxLate = true;
+  driver.nowMs = 50;
+  t.same(calledLeafIds(driver.dispatch({ kind: "timer", timer: "hedge" })), ["s1-b", "s2-b"]);
+});
--- a/request/request_state.ts
+++ b/request/request_state.ts
@@ -238,6 +238,10 @@
        * milliseconds.
        */
       readonly waitLimitMs: number;
+      /**
+       * Time within which a responsive box has sent its first parts, or none, in milliseconds.
+       */
+      readonly firstFrameMs: number;
       readonly deadlineAtMs: number;
     }
   | { readonly kind: "abandon"; readonly attemptId: number }
@@ -296,8 +300,16 @@
   readonly eventLoopIdleMs: number;
   /** Selects the leaf to call next, or `undefined` if all candidates are excluded. */
   chooseLeaf(service: string, excluded: ReadonlySet<string>): LeafChoice | undefined;
-  /** Selects a box at a location to call through, or `undefined` if none is available. */
-  chooseBox(relayPlace: string): BoxChoice | undefined;
+  /**
+   * Selects a box at a location to call through, or `undefined` if none is available.
+   *
+   * @param relayPlace - The location.
+   * @param options - Whether boxes must not be selected whose first parts for some request are late.
+   */
+  chooseBox(
+    relayPlace: string,
+    options?: { readonly excludesLate?: boolean },
+  ): BoxChoice | undefined;
   /**
    * Records the queueing delay at the leafs of an index, by which later queries are judged as well.
    *
