A relaying box reads what has arrived before it sends its first frame

Callers saw answers without parts of shards whose leafs had answered. A box that relays sends one frame with the parts of a moment. Node runs due timers before it reads input, so a box that had stood still sent an empty first frame on waking, and then each part that had long arrived in a frame of its own; past its objective the caller's box answers with the first of them that suffices. Now the first frame is sent after the next reading, and later parts that are read together go out together, which also saves frames.

After: green.

--- a/relay/_merged_relay.ts
+++ b/relay/_merged_relay.ts
@@ -59,6 +59,8 @@
   #failed = new Map<string, FailedPart>();
   #openCount = 0;
   #hasFlushed = false;
+  #isFlushScheduled = false;
+  #hasEnded = false;
   /**
    * Queueing delays at the called leafs, in milliseconds, until they are reported with the first
    * frame.
@@ -85,11 +87,13 @@
       this.#request.waitLimitMs,
       latencyMs * FIRST_FRAME_LATENCY_FACTOR + FIRST_FRAME_MARGIN_MS,
     );
-    this.#timer = setTimeout(() => this.#sendFirstFrame(), firstFrameMs);
+    // Reads what has already arrived first, as this process may have been stalled.
+    this.#timer = setTimeout(() => setImmediate(() => this.#sendFirstFrame()), firstFrameMs);
     this.#endIfDone();
   }
 
   stop(): void {
+    this.#hasEnded = true;
     clearTimeout(this.#timer);
     for (const call of this.#open) {
       call.abandon();
@@ -151,11 +155,23 @@
       this.#pendingParts.push({ service, signature, body });
     }
     if (this.#hasFlushed) {
-      this.#flush();
+      this.#scheduleFlush();
     }
     this.#endIfDone();
   }
 
+  /** Sends the pending parts once all input that is available now has been read. */
+  #scheduleFlush(): void {
+    if (this.#isFlushScheduled) {
+      return;
+    }
+    this.#isFlushScheduled = true;
+    setImmediate(() => {
+      this.#isFlushScheduled = false;
+      this.#flush();
+    });
+  }
+
   /** Reports failures immediately, so that the requesting box can call other leafs. */
   #reportFailures(): void {
     if (this.#failed.size > 0) {
@@ -168,6 +184,9 @@
    * alive.
    */
   #sendFirstFrame(): void {
+    if (this.#hasEnded) {
+      return;
+    }
     if (this.#pendingParts.length === 0 && !this.#response.destroyed) {
       this.#response.write(EMPTY_FRAME);
     }
@@ -215,6 +234,7 @@
 
   #endIfDone(): void {
     if (this.#openCount === 0) {
+      this.#hasEnded = true;
       clearTimeout(this.#timer);
       this.#flush();
       this.#response.end();
--- a/relay/merged_relay_test.ts
+++ b/relay/merged_relay_test.ts
@@ -1,8 +1,10 @@
+import { stat } from "node:fs";
 import type { ServerResponse } from "node:http";
 import t from "tap";
 import type { LeafCalls } from "../calls/mod.js";
 import { INITIAL_LEAF_HEALTH, type Leaf, type LeafHealth } from "../leafs/mod.js";
 import type { AttemptOutcome, RelayedParts } from "../request/mod.js";
+import { waitUntil } from "../standins/waiting.js";
 import { MergedRelay } from "./_merged_relay.js";
 import { RelayFrameReader } from "./relay_frames.js";
 import type { MergedRelayRequest } from "./relay_request.js";
@@ -79,3 +81,21 @@
   t.same([...long.ends.keys()], []);
   t.same([...(long.sent[0]?.failed.values() ?? [])], ["declined", "declined"]);
 });
+
+/** Blocks this process until a time has passed, as a suspension does. */
+function stall(durationMs: number): void {
+  const untilMs = performance.now() + durationMs;
+  while (performance.now() < untilMs) {
+    // Nothing can be read meanwhile.
+  }
+}
+
+t.test("parts that arrived while the box was stalled are sent together", async (t) => {
+  const { ends, sent } = startRelay({ meanMs: 5 });
+  const answer = { statusCode: 200, headers: {}, signature: "x", body: Buffer.alloc(16) };
+  // Its result is available after the stall, as input from a leaf would be.
+  stat(".", () => ends.get("s1")?.({ kind: "answered", answer }));
+  stall(100);
+  await waitUntil(async () => sent.length > 0, "a frame has been sent");
+  t.same([...(sent[0]?.signatures.keys() ?? [])], ["s1"], "the first frame has the part");
+});
