An answer that is late includes the parts that arrive at almost the same time

Past the objective the answer went out with the part that made it sufficient, though what had held that part up (a box, a leaf, a link) had held up the others too, and they arrived a millisecond later.

Now an answer that reaches its least share only after the objective waits a twentieth of the objective for further parts, and goes out at once when it is complete. At the objective it goes out as before, unless the box itself stood still past it: then parts may have arrived that it has not read.

--- a/request/_completion.ts
+++ b/request/_completion.ts
@@ -17,26 +17,79 @@
 
 type ReplyStep = Step<RequestState, RequestEffect>;
 
+/**
+ * Fraction of the latency objective for which an answer that reaches the minimum share only after
+ * its objective waits for further parts. What delayed one part has often delayed others, which
+ * then arrive at almost the same time.
+ */
+const LATE_REPLY_OBJECTIVE_SHARE = 0.05;
+
 /**
  * Replies to a request if waiting cannot improve the answer: all shards are settled, the minimum
- * share of parts can no longer be reached, or it has been reached and either the latency objective
- * has passed or `finishShare` of the parts has been received.
+ * share of parts can no longer be reached, or it has been reached and `finishShare` of the parts
+ * has been received. After the latency objective, the minimum share suffices; the reply is then
+ * sent after a short wait for further parts.
  *
  * @param state - The request so far.
- * @returns The request, with its reply if there is one.
+ * @param nowMs - Current time, in milliseconds.
+ * @returns The request, with its reply or the wait for it if there is one.
  */
-export function replyIfDecided(state: RequestState): ReplyStep {
+export function replyIfDecided(state: RequestState, nowMs: number): ReplyStep {
   if (state.done) {
     return step(state);
   }
   const settled = state.partsIn + state.partsLost === state.shards.length;
   const { target } = state.terms.route;
-  const suffices =
-    target.kind === "gather" &&
-    hasMinShare(state, target) &&
-    (state.pastObjective || state.partsIn >= state.terms.finishShare * state.shards.length);
   const infeasible = target.kind === "gather" && !canReachMinShare(state, target);
-  return settled || suffices || infeasible ? finish(state, finalReply(state)) : step(state);
+  const hasShare = target.kind === "gather" && hasMinShare(state, target);
+  const suffices = hasShare && state.partsIn >= state.terms.finishShare * state.shards.length;
+  if (settled || infeasible || suffices) {
+    return finish(state, finalReply(state));
+  }
+  return hasShare && state.pastObjective ? awaitLateReply(state, nowMs) : step(state);
+}
+
+/**
+ * Replies to a request at its latency objective if the minimum share of parts has been received. If
+ * this process was stalled, the reply is late already and waits for parts that have not been read.
+ *
+ * @param state - The request so far.
+ * @param nowMs - Current time, in milliseconds.
+ * @returns The request, with its reply or the wait for it if there is one.
+ */
+export function replyAtObjective(state: RequestState, nowMs: number): ReplyStep {
+  const { target } = state.terms.route;
+  const past = { ...state, pastObjective: true };
+  if (target.kind !== "gather" || !hasMinShare(state, target)) {
+    return step(past);
+  }
+  const isLate = nowMs > state.terms.objectiveAtMs + lateReplyWaitMs(state);
+  return isLate ? awaitLateReply(past, nowMs) : finish(past, finalReply(past));
+}
+
+function lateReplyWaitMs({ terms }: RequestState): number {
+  return (terms.objectiveAtMs - terms.arrivedAtMs) * LATE_REPLY_OBJECTIVE_SHARE;
+}
+
+/** Starts the wait for further parts, once. */
+function awaitLateReply(state: RequestState, nowMs: number): ReplyStep {
+  if (state.awaitsLateReply) {
+    return step(state);
+  }
+  return step<RequestState, RequestEffect>(
+    { ...state, awaitsLateReply: true },
+    { kind: "wake", timer: "lateReply", atMs: nowMs + lateReplyWaitMs(state) },
+  );
+}
+
+/**
+ * Replies to a request with the parts received by the end of the wait for further ones.
+ *
+ * @param state - The request so far.
+ * @returns The request with its reply.
+ */
+export function replyLate(state: RequestState): ReplyStep {
+  return finish(state, finalReply(state));
 }
 
 /**
--- a/request/request_core.ts
+++ b/request/request_core.ts
@@ -6,7 +6,7 @@
  */
 import { andThen, forEachStep, type Step, step } from "../core/mod.js";
 import { retryOrDefer, sendExtraCall, sendFirstCalls } from "./_attempts.js";
-import { replyAtDeadline, replyIfDecided } from "./_completion.js";
+import { replyAtDeadline, replyAtObjective, replyIfDecided, replyLate } from "./_completion.js";
 import { applyOutcome } from "./_outcomes.js";
 import { applyRelayedParts } from "./_relayed_parts.js";
 import { batchRemoteCalls } from "./_remote_calls.js";
@@ -75,6 +75,7 @@
     nextAttemptId: 1,
     congested: false,
     pastObjective: false,
+    awaitsLateReply: false,
     done: false,
   };
 }
@@ -116,7 +117,7 @@
     const called = sendFirstCalls(setFirstTimers(state), context);
     return andThen(
       andThen(called, (current) => setHedgeTimer(current, context)),
-      replyIfDecided,
+      (current) => replyIfDecided(current, context.nowMs),
     );
   },
   attemptEnded: (state, { attemptId, outcome, shardIndex: onlyShard }, context) => {
@@ -153,12 +154,12 @@
 function replyAfterCalls(handled: RequestStep, context: RequestContext): RequestStep {
   const hasDeferred = handled.state.shards.some(({ next }) => next !== undefined);
   if (handled.effects.length === 0 && !hasDeferred) {
-    return replyIfDecided(handled.state);
+    return replyIfDecided(handled.state, context.nowMs);
   }
   const called = andThen(batchRemoteCalls(handled, context), (current) =>
     setHedgeTimer(current, context),
   );
-  return andThen(called, replyIfDecided);
+  return andThen(called, (current) => replyIfDecided(current, context.nowMs));
 }
 
 type TimerHandler = (state: RequestState, context: RequestContext) => RequestStep;
@@ -176,9 +177,10 @@
     });
     const called = batchRemoteCalls(hedged, context);
     const timed = andThen(called, (current) => setHedgeTimer(current, context, { isRetry: true }));
-    return andThen(timed, replyIfDecided);
+    return andThen(timed, (current) => replyIfDecided(current, context.nowMs));
   },
-  objective: (state) => replyIfDecided({ ...state, pastObjective: true }),
+  objective: (state, { nowMs }) => replyAtObjective(state, nowMs),
+  lateReply: replyLate,
   deadline: (state) => replyAtDeadline(state),
 };
 
--- a/request/request_state.ts
+++ b/request/request_state.ts
@@ -162,6 +162,8 @@
   readonly congested: boolean;
   /** Whether the latency objective has passed, so that the minimum share suffices. */
   readonly pastObjective: boolean;
+  /** Whether the minimum share was reached after the objective, and the reply waits for more. */
+  readonly awaitsLateReply: boolean;
   readonly done: boolean;
 }
 
@@ -251,7 +253,7 @@
   | { readonly kind: "reply"; readonly reply: Reply };
 
 /** Timers of a request. */
-export type RequestTimer = "hedge" | "objective" | "deadline";
+export type RequestTimer = "hedge" | "objective" | "lateReply" | "deadline";
 
 /** An event of a request. */
 export type RequestEvent =
