A query waits for a pool while none is connected

Callers saw, in a rolling restart on a busy machine, a query refused within milliseconds with "no leaf took it", s01 "no replica", with five seconds left. Cause: an entry is ready, and listed for callers, as soon as it has its configuration; its streams to the pools open a moment later, and until then no shard had a pool to be sent through.

Now a shard without any connected pool waits for one, 2.5 s at most (after that a silent pool counts as dead) and not past the deadline; then it is refused as before. A shard whose leafs are unavailable is still refused at once.

--- /dev/null
+++ b/entry/awaiting_fetches.ts
@@ -0,0 +1,64 @@
+/**
+ * Fetches that wait for a pool: sent once a pool is connected, or settled at the end of the wait.
+ *
+ * @module
+ */
+import { andThen, forEachStep, step } from "../core/mod.js";
+import { sendAttempt } from "./attempts.js";
+import { chooseTarget } from "./candidates.js";
+import type { EntryEffect } from "./entry_messages.js";
+import type { EntryState, EntryStep, Fetch } from "./entry_state.js";
+import { type FetchStep, removeFetch, sendFirstAttempt, unsettled } from "./fetches.js";
+import { clearPoolWait } from "./pool_wait.js";
+
+/**
+ * Sends the fetches that wait for a pool, after one was connected.
+ *
+ * @param state - The entry's state.
+ * @param nowMs - Current time, in milliseconds.
+ * @returns The step.
+ */
+export function sendAwaitingFetches(state: EntryState, nowMs: number): EntryStep {
+  const awaiting = [...state.fetches.values()].filter((fetch) => {
+    return fetch.awaitsPoolSinceMs !== undefined;
+  });
+  return forEachStep(step<EntryState, EntryEffect>(state), awaiting, (next, fetch) => {
+    return sendAwaitingFetch(next, fetch, nowMs);
+  });
+}
+
+function sendAwaitingFetch(state: EntryState, awaiting: Fetch, nowMs: number): EntryStep {
+  const target = chooseTarget(state, awaiting, nowMs);
+  if (target === undefined) {
+    return step(state);
+  }
+  const fetch: Fetch = { ...awaiting, awaitsPoolSinceMs: undefined };
+  const cleared = step<EntryState, EntryEffect>(state, ...clearPoolWait(awaiting));
+  return andThen(cleared, (next) =>
+    fetch.attempts.length === 0
+      ? sendFirstAttempt(next, fetch, { ...target, nowMs })
+      : sendAttempt(next, fetch, { ...target, purpose: "retry", nowMs }),
+  );
+}
+
+/**
+ * Ends the wait of a fetch for a pool.
+ *
+ * @param state - The entry's state.
+ * @param fetchId - The fetch.
+ * @param nowMs - Current time, in milliseconds.
+ * @returns The step; the fetch settles without rows unless it has been sent meanwhile.
+ */
+export function endPoolWait(state: EntryState, fetchId: string, nowMs: number): FetchStep {
+  const awaiting = state.fetches.get(fetchId);
+  if (awaiting?.awaitsPoolSinceMs === undefined) {
+    return unsettled(step(state));
+  }
+  const sent = sendAwaitingFetch(state, awaiting, nowMs);
+  if (sent.state !== state) {
+    return unsettled(sent);
+  }
+  const notRun = awaiting.attempts.every((attempt) => attempt.notRun);
+  const outcome = { kind: "lacking", reason: awaiting.lastReason, notRun } as const;
+  return { ...removeFetch(state, awaiting), settled: { fetch: awaiting, outcome } };
+}
--- a/entry/entry_core.ts
+++ b/entry/entry_core.ts
@@ -12,6 +12,7 @@
 import { issueTicket } from "../tickets/mod.js";
 import { admitQuery } from "./admission.js";
 import { removeIdleCallers } from "./admission_decision.js";
+import { endPoolWait, sendAwaitingFetches } from "./awaiting_fetches.js";
 import { applyResult } from "./call_results.js";
 import { leafKey } from "./candidates.js";
 import type { CallResult, EntryEffect, EntryEvent } from "./entry_messages.js";
@@ -51,7 +52,13 @@
   },
   hedge: (state, { id, nowMs }) => hedgeFetch(state, id, nowMs),
   startNext: (state, { nowMs }) => startNext(state, nowMs),
-  poolOpened: (state, { poolId }) => step({ ...state, openPools: state.openPools.add(poolId) }),
+  poolWait: (state, { id, nowMs }) => {
+    const ended = endPoolWait(state, id, nowMs);
+    const settled = ended.settled === undefined ? [] : [ended.settled];
+    return andThen(ended, (next) => settleAll(next, settled, nowMs));
+  },
+  poolOpened: (state, { poolId, nowMs }) =>
+    sendAwaitingFetches({ ...state, openPools: state.openPools.add(poolId) }, nowMs),
   poolLost: onPoolLost,
   resultsArrived: onResultsArrived,
   borrowArrived: lendTokens,
--- a/entry/entry_core_test.ts
+++ b/entry/entry_core_test.ts
@@ -289,3 +289,35 @@
     t.match(core.answersTo("q1")[0], { outcome: "complete", snapshot: "v2" });
   },
 );
+
+t.test("a query of an entry without a connected pool waits for one", async (t) => {
+  const core = harness(2);
+  core.send({ kind: "poolLost", poolId: "box-2/pool" });
+  t.equal(core.query("q1", { deadlineMs: 5_000 }).length, 0);
+  t.same(core.answersTo("q1"), [], "it is not refused while there is time");
+  core.nowMs += 400;
+  const effects = core.send({ kind: "poolOpened", poolId: "box-2/pool" });
+  const calls = effects.flatMap((effect) => (effect.kind === "sendCall" ? [effect.call] : []));
+  t.same(
+    calls.map(({ shard }) => shard),
+    ["s0", "s1"],
+  );
+  for (const call of calls) {
+    core.deliver(answered(call));
+  }
+  t.match(core.answersTo("q1"), [{ outcome: "complete" }]);
+  t.same(core.invariantViolations, []);
+});
+
+t.test("the wait for a pool ends with a refusal as not run", async (t) => {
+  const core = harness(1);
+  core.send({ kind: "poolLost", poolId: "box-2/pool" });
+  const { state } = core;
+  core.query("q1", { deadlineMs: 5_000 });
+  core.nowMs += 2_500;
+  const [fetchId = ""] = core.state.fetches.keys();
+  core.send({ kind: "poolWait", id: fetchId });
+  t.match(core.answersTo("q1"), [{ outcome: "refused", notRun: true }]);
+  t.equal(core.state.fetches.size, state.fetches.size, "the fetch is removed");
+  t.equal(core.state.fetchesByService.get("wide"), 0);
+});
--- a/entry/entry_messages.ts
+++ b/entry/entry_messages.ts
@@ -63,7 +63,8 @@
   | ControlTimer
   | { readonly kind: "startNext" }
   | { readonly kind: "queryDeadline"; readonly id: string }
-  | { readonly kind: "hedge"; readonly id: string };
+  | { readonly kind: "hedge"; readonly id: string }
+  | { readonly kind: "poolWait"; readonly id: string };
 
 /** Events of the entry's core. */
 export type EntryEvent =
@@ -79,6 +80,7 @@
   | { readonly kind: "callerGone"; readonly nowMs: number; readonly queryId: string }
   | { readonly kind: "ticketWanted"; readonly nowMs: number; readonly requestId: string }
   | { readonly kind: "startNext"; readonly nowMs: number }
+  | { readonly kind: "poolWait"; readonly nowMs: number; readonly id: string }
   | { readonly kind: "queryDeadline"; readonly nowMs: number; readonly id: string }
   | { readonly kind: "hedge"; readonly nowMs: number; readonly id: string }
   | { readonly kind: "poolOpened"; readonly nowMs: number; readonly poolId: string }
--- a/entry/entry_state.ts
+++ b/entry/entry_state.ts
@@ -54,6 +54,8 @@
   /** Why the last attempt failed. */
   readonly lastReason: MissingReason;
   readonly lastRetryAfterMs: number;
+  /** Since when it has waited for a pool, as none is connected; `undefined` if it does not wait. */
+  readonly awaitsPoolSinceMs: number | undefined;
 }
 
 /** One caller's query in flight. */
--- a/entry/fetches.ts
+++ b/entry/fetches.ts
@@ -6,10 +6,11 @@
 import { andThen, step } from "../core/mod.js";
 import type { ShardOutcome } from "../query/mod.js";
 import { sendAttempt } from "./attempts.js";
-import { chooseTarget } from "./candidates.js";
+import { chooseTarget, type Target } from "./candidates.js";
 import type { EntryEffect } from "./entry_messages.js";
 import type { EntryState, EntryStep, Fetch } from "./entry_state.js";
 import { hedgeDelayMs } from "./hedging.js";
+import { awaitPool, clearPoolWait, mayAwaitPool } from "./pool_wait.js";
 
 /** A fetch that has ended, with its outcome for the waiting queries. */
 export interface SettledFetch {
@@ -33,7 +34,7 @@
 }
 
 /**
- * Sends the first attempt of a fetch.
+ * Sends the first attempt of a fetch, or waits for a pool if none is connected.
  *
  * @param state - The entry's state, without the fetch.
  * @param fetch - The fetch, without attempts.
@@ -42,7 +43,8 @@
  */
 export function startFetch(state: EntryState, fetch: Fetch, nowMs: number): FetchStep {
   const target = chooseTarget(state, fetch, nowMs);
-  if (target === undefined) {
+  const awaitsPool = target === undefined && mayAwaitPool(state, fetch, nowMs);
+  if (target === undefined && !awaitsPool) {
     const outcome = { kind: "lacking", reason: fetch.lastReason, notRun: true } as const;
     return { state, effects: [], settled: { fetch, outcome } };
   }
@@ -55,15 +57,33 @@
     fetchesByService: addToFetchCount(state, fetch.service, 1),
   };
   return unsettled(
-    andThen(sendAttempt(shared, fetch, { ...target, purpose: "first", nowMs }), (sent) =>
-      fetch.repeatable && fetch.leafIds.length > 1
-        ? step<EntryState, EntryEffect>(sent, {
-            kind: "setTimer",
-            timer: { kind: "hedge", id: fetch.fetchId },
-            delayMs: hedgeDelayMs(sent, fetch.service),
-          })
-        : step<EntryState, EntryEffect>(sent),
-    ),
+    target === undefined
+      ? awaitPool(shared, fetch, nowMs)
+      : sendFirstAttempt(shared, fetch, { ...target, nowMs }),
+  );
+}
+
+/**
+ * Sends the first attempt of a fetch to a target, and schedules its first check for a hedge.
+ *
+ * @param state - The entry's state.
+ * @param fetch - The fetch.
+ * @param options - Leaf and pool of the call, and the current time.
+ * @returns The step.
+ */
+export function sendFirstAttempt(
+  state: EntryState,
+  fetch: Fetch,
+  options: Target & { readonly nowMs: number },
+): EntryStep {
+  return andThen(sendAttempt(state, fetch, { ...options, purpose: "first" }), (sent) =>
+    fetch.repeatable && fetch.leafIds.length > 1
+      ? step<EntryState, EntryEffect>(sent, {
+          kind: "setTimer",
+          timer: { kind: "hedge", id: fetch.fetchId },
+          delayMs: hedgeDelayMs(sent, fetch.service),
+        })
+      : step<EntryState, EntryEffect>(sent),
   );
 }
 
@@ -95,5 +115,5 @@
     fetchByHash: isShared ? state.fetchByHash.delete(fetch.shareHash) : state.fetchByHash,
   };
   const clear = { kind: "clearTimer", timer: { kind: "hedge", id: fetch.fetchId } } as const;
-  return step<EntryState, EntryEffect>(next, clear, ...cancels);
+  return step<EntryState, EntryEffect>(next, clear, ...clearPoolWait(fetch), ...cancels);
 }
--- a/entry/shard_requests.ts
+++ b/entry/shard_requests.ts
@@ -148,6 +148,7 @@
     startedAtMs: nowMs,
     lastReason: "no replica",
     lastRetryAfterMs: 0,
+    awaitsPoolSinceMs: undefined,
   };
   const counted = { ...state, nextId: state.nextId + 1 };
   const started = startFetch(counted, fetch, nowMs);
