A lost pool does not use up the retries of a query

Callers saw, in the same rolling restart, a partial answer with "pool lost" for four of five shards, although the query could be repeated and had seconds left. Cause: the loss of a pool counted as a failed try of the leaf; the policy allows one retry, so a second pool lost during a query (one leaves, another restarts or has stalled) left its shards out, as did a moment without any pool.

Now a shard whose pool was lost is sent again through another pool, six attempts at most, or waits for one; the policy's retries are kept for its leafs. A query that must not run twice is still not sent again.

Tests before: 1 red of 19 of the core (no third call, no wait). After: green.

--- a/entry/call_results.ts
+++ b/entry/call_results.ts
@@ -12,6 +12,7 @@
 import { type FetchStep, removeFetch, unsettled } from "./fetches.js";
 import { observeLatency } from "./hedging.js";
 import { recordCallOutcome, UNKNOWN_LEAF } from "./leaf_view.js";
+import { awaitPool, mayAwaitPool } from "./pool_wait.js";
 
 /**
  * Applies the result of a call.
@@ -171,15 +172,26 @@
   return { ...fetch, attempts };
 }
 
+/** Maximum attempts of a fetch whose pools are lost, a bound on the calls that its leafs receive. */
+const MAX_ATTEMPTS_WITH_LOST_POOLS = 6;
+
 function retry(state: EntryState, fetch: Fetch, nowMs: number): EntryStep | undefined {
   const mayHaveRun = fetch.attempts.some((attempt) => !attempt.notRun);
-  if (fetch.retriesLeft <= 0 || (!fetch.repeatable && mayHaveRun)) {
+  if (!fetch.repeatable && mayHaveRun) {
+    return undefined;
+  }
+  const isPoolLost = fetch.lastReason === "pool lost";
+  const mayRetryFreely = isPoolLost && fetch.attempts.length < MAX_ATTEMPTS_WITH_LOST_POOLS;
+  if (fetch.retriesLeft <= 0 && !mayRetryFreely) {
     return undefined;
   }
-  const retrying = { ...fetch, retriesLeft: fetch.retriesLeft - 1 };
+  // The policy limits retries of leafs; the loss of a pool says nothing about its leafs.
+  const retriesLeft = mayRetryFreely ? fetch.retriesLeft : fetch.retriesLeft - 1;
+  const retrying = { ...fetch, retriesLeft };
   const target = chooseTarget(state, retrying, nowMs);
   if (target === undefined) {
-    return undefined;
+    const awaitsPool = isPoolLost && mayAwaitPool(state, retrying, nowMs);
+    return awaitsPool ? awaitPool(state, retrying, nowMs) : undefined;
   }
   const sent = sendExtraAttempt(state, retrying, { ...target, purpose: "retry", nowMs });
   return sent.state === state ? undefined : sent;
--- a/entry/entry_core_test.ts
+++ b/entry/entry_core_test.ts
@@ -321,3 +321,40 @@
   t.equal(core.state.fetches.size, state.fetches.size, "the fetch is removed");
   t.equal(core.state.fetchesByService.get("wide"), 0);
 });
+
+t.test("a query whose pools are lost one after the other is sent again", async (t) => {
+  const core = harness(1);
+  core.send({ kind: "poolOpened", poolId: "box-3/pool" });
+  core.send({ kind: "poolOpened", poolId: "box-4/pool" });
+  let [call] = core.query("q1", { deadlineMs: 5_000 });
+  const lost: Array<string> = [];
+  while (call !== undefined && lost.length < 3) {
+    const { callId } = call;
+    const poolId = core.state.fetches.first()?.attempts.at(-1)?.poolId ?? "";
+    t.notOk(lost.includes(poolId), "through a pool that has not been lost");
+    lost.push(poolId);
+    const effects = core.send({ kind: "poolLost", poolId });
+    const resent = effects.flatMap((effect) => (effect.kind === "sendCall" ? [effect.call] : []));
+    t.notOk(resent.some((each) => each.callId === callId));
+    [call] = resent;
+  }
+  t.equal(lost.length, 3);
+  t.same(core.answersTo("q1"), [], "without any pool, it waits for one");
+  core.nowMs += 300;
+  const effects = core.send({ kind: "poolOpened", poolId: "box-4/pool" });
+  const [last] = effects.flatMap((effect) => (effect.kind === "sendCall" ? [effect.call] : []));
+  t.ok(last !== undefined, "and is sent once one is connected again");
+  core.deliver(answered(last as LeafCall));
+  t.match(core.answersTo("q1"), [{ outcome: "complete" }]);
+});
+
+t.test("a query that is not repeatable is not sent again after its pool is lost", async (t) => {
+  const core = harness(1);
+  core.send({ kind: "ticketWanted", requestId: "r" });
+  const given = core.effects.find((effect) => effect.kind === "giveTicket");
+  const ticket = given?.kind === "giveTicket" ? given.ticket : "";
+  core.query("q1", { deadlineMs: 5_000, repeatable: false, ticket, sequence: 1 });
+  const effects = core.send({ kind: "poolLost", poolId: "box-2/pool" });
+  t.notOk(effects.some(({ kind }) => kind === "sendCall"));
+  t.match(core.answersTo("q1"), [{ outcome: "unknown", notRun: false }]);
+});
