A stall of a pool is not taken for slowness of its leafs, and old estimates do not refuse for good

Callers saw every query with a deadline of 2 s refused ("it would miss its deadline"), at all entries and for as long as we looked (6 s), after the pools had stood still once for 3 s: their leafs take 3 ms.

Cause: a pool measures a call from sending to reading the answer, its own stall included; the first measurement is the mean. By that mean the pool refuses calls and entries refuse queries, and as refused calls measure nothing, the mean stays. Now the pool leaves its stalls out (its timer of 40 ms shows them), an idle leaf without an answer for 2 s is called whatever its mean, one call at a time, and an entry refuses only by reports of the last 2 s.

--- /dev/null
+++ b/clock/stall_meter_test.ts
@@ -0,0 +1,17 @@
+// Guards against stalls of a process that are taken for slowness of what it waits for.
+import t from "tap";
+import { StallMeter } from "./stall_meter.js";
+
+t.test("the time without ticks beyond the interval counts as stalled", async (t) => {
+  let nowMs = 100;
+  const stalls = new StallMeter({ nowMs: () => nowMs, intervalMs: 40 });
+  nowMs += 119;
+  t.equal(stalls.totalMs(), 0, "a late tick of a busy process is no stall");
+  stalls.tick();
+  nowMs += 3_040;
+  t.equal(stalls.totalMs(), 3_000, "before the tick that ends the stall");
+  stalls.tick();
+  nowMs += 40;
+  stalls.tick();
+  t.equal(stalls.totalMs(), 3_000, "and after it");
+});
--- a/entry/admission_decision.ts
+++ b/entry/admission_decision.ts
@@ -19,7 +19,7 @@
 import type { PlainAnswer } from "./answers.js";
 import { candidatesOf, leafKey } from "./candidates.js";
 import type { EntryState } from "./entry_state.js";
-import { acceptsCalls } from "./leaf_view.js";
+import { acceptsCalls, type Candidate, hasRecentReport } from "./leaf_view.js";
 import { takeServiceToken } from "./service_limit.js";
 import { expectedStartMs } from "./start_queue.js";
 
@@ -152,7 +152,7 @@
   const predicted = snapshot.shards
     .map(({ leafIds }) => candidatesOf(state, { service: request.service, leafIds }, nowMs))
     .filter((candidates) => candidates.length > 0)
-    .map((candidates) => Math.min(...candidates.map((candidate) => candidate.predictedMs)))
+    .map((candidates) => Math.min(...candidates.map((each) => recentlyPredictedMs(each, nowMs))))
     .sort((a, b) => a - b);
   const wanted = Math.min(request.wantedCoverage, decision.finishCoverage);
   const needed = Math.ceil(predicted.length * wanted * ON_TIME_SHARE);
@@ -161,6 +161,11 @@
   return Math.ceil(Math.max(0, startMs + slowest - budgetMs));
 }
 
+/** Predicted duration of a call, in milliseconds; 0 without a recent report. */
+function recentlyPredictedMs({ predictedMs, view }: Candidate, nowMs: number): number {
+  return hasRecentReport(view, nowMs) ? predictedMs : 0;
+}
+
 interface CallerTokenResult {
   readonly state: EntryState;
   /** Time until a token is available, in milliseconds; 0 if one was taken. */
--- a/entry/entry_core_test.ts
+++ b/entry/entry_core_test.ts
@@ -358,3 +358,14 @@
   t.notOk(effects.some(({ kind }) => kind === "sendCall"));
   t.match(core.answersTo("q1"), [{ outcome: "unknown", notRun: false }]);
 });
+
+t.test("a query is not refused because of what pools reported long ago", async (t) => {
+  const core = harness(1);
+  const slow = { service: "wide", waitMs: 0, serviceTimeMs: 3_000, available: true };
+  const reports = ["leaf-0", "leaf-1"].map((leafId) => ({ ...slow, leafId }));
+  core.send({ kind: "resultsArrived", poolId: "box-2/pool", results: [], reports });
+  core.query("q1", { deadlineMs: 2_000 });
+  t.match(core.answersTo("q1"), [{ outcome: "refused", notRun: true }]);
+  core.nowMs += 2_001;
+  t.equal(core.query("q2", { deadlineMs: 2_000 }).length, 1, "the leafs may have recovered");
+});
--- a/entry/leaf_view.ts
+++ b/entry/leaf_view.ts
@@ -127,6 +127,18 @@
   return waitMs + view.serviceTimeMs * (1 + sent / leaf.slots);
 }
 
+/**
+ * Returns whether a pool has reported a leaf recently enough to refuse queries by its report. A leaf
+ * that receives no calls is not reported, so that an old report may no longer be true.
+ *
+ * @param view - View of the leaf.
+ * @param nowMs - Current time, in milliseconds.
+ * @returns Whether the last report is recent.
+ */
+export function hasRecentReport({ reportedAtMs }: LeafView, nowMs: number): boolean {
+  return nowMs - reportedAtMs <= REPORT_VALID_MS;
+}
+
 /** A leaf that a call may be sent to. */
 export interface Candidate {
   readonly leaf: Leaf;
--- a/pool/call_admission.ts
+++ b/pool/call_admission.ts
@@ -11,7 +11,7 @@
 import type { MissingReason } from "../model/mod.js";
 import { queueCall } from "./flight_queue.js";
 import { joinFlight, putLeaf } from "./flights.js";
-import { expectedWaitMs, reportLeaf, setCondition } from "./leaf_condition.js";
+import { expectedWaitMs, needsMeasurement, reportLeaf, setCondition } from "./leaf_condition.js";
 import type { PoolEffect } from "./pool_messages.js";
 import {
   type Flight,
@@ -71,7 +71,7 @@
     return joinFlight(state, shared, { waiter, deadlineAtMs });
   }
   const withLeaf = state.leafs.has(key) ? state : putLeaf(state, leafState);
-  const refusal = checkAdmission(leafState, call);
+  const refusal = checkAdmission(leafState, call, nowMs);
   return refusal === undefined
     ? queueCall(withLeaf, leafState, { call, waiter, shareKey, deadlineAtMs, nowMs })
     : refuseCall(withLeaf, waiter, refusal, leafState);
@@ -138,13 +138,13 @@
   down: "leaf failed",
 };
 
-function checkAdmission(leaf: LeafState, call: LeafCall): Refusal | undefined {
+function checkAdmission(leaf: LeafState, call: LeafCall, nowMs: number): Refusal | undefined {
   if (leaf.condition !== "ready") {
     return { reason: CONDITION_REASONS[leaf.condition], retryAfterMs: 0 };
   }
   const waitMs = expectedWaitMs(leaf, leaf.queue.length);
   const overrunMs = waitMs + leaf.serviceTimeMs - call.remainingMs;
-  if (overrunMs > 0 && call.priorityRank > 0) {
+  if (overrunMs > 0 && call.priorityRank > 0 && !needsMeasurement(leaf, nowMs)) {
     return { reason: "overloaded", retryAfterMs: Math.ceil(overrunMs) };
   }
   return leaf.queue.length >= MAX_QUEUED_CALLS
--- a/pool/flight_queue.ts
+++ b/pool/flight_queue.ts
@@ -7,6 +7,7 @@
 import type { LeafCall } from "../entry/entry_messages.js";
 import { fnv1a } from "../hashing/mod.js";
 import { callKey, endFlight, putLeaf } from "./flights.js";
+import { needsMeasurement } from "./leaf_condition.js";
 import type { PoolEffect } from "./pool_messages.js";
 import type { Flight, LeafState, PoolState, PoolStep, Waiter } from "./pool_state.js";
 
@@ -98,7 +99,10 @@
   if (flight === undefined) {
     return dispatchNext(putLeaf(state, dequeued), key, nowMs);
   }
-  const isLate = nowMs + leaf.serviceTimeMs * MIN_SERVICE_TIME_RATIO >= flight.deadlineAtMs;
+  const minServiceMs = needsMeasurement(leaf, nowMs)
+    ? 0
+    : leaf.serviceTimeMs * MIN_SERVICE_TIME_RATIO;
+  const isLate = nowMs + minServiceMs >= flight.deadlineAtMs;
   const handled = isLate
     ? endFlight(putLeaf(state, dequeued), flight, {
         kind: "refused",
--- a/pool/leaf_condition.ts
+++ b/pool/leaf_condition.ts
@@ -19,6 +19,9 @@
 /** Consecutive failures after which a leaf is down. */
 const DOWN_AFTER_FAILURES = 2;
 
+/** Time after the last answer for which the mean service time of a leaf is valid, in milliseconds. */
+const SERVICE_TIME_VALID_MS = 2_000;
+
 /** Minimum service time recorded for a call, in milliseconds. */
 const MIN_SERVICE_TIME_MS = 0.1;
 
@@ -90,12 +93,17 @@
  * one more slot.
  *
  * @param state - State of the leaf.
- * @param tookMs - Time from dispatch to answer, in milliseconds.
+ * @param answer - Time from dispatch to answer, without stalls of the pool, and the current time,
+ *   in milliseconds.
  * @returns The new state of the leaf.
  */
-export function recordAnswer(state: LeafState, tookMs: number): LeafState {
+export function recordAnswer(
+  state: LeafState,
+  { tookMs, nowMs }: { readonly tookMs: number; readonly nowMs: number },
+): LeafState {
   return {
     ...state,
+    answeredAtMs: nowMs,
     serviceTimeMs: updateClampedMean(state.serviceTimeMs, Math.max(MIN_SERVICE_TIME_MS, tookMs), {
       outlierFactor: OUTLIER_FACTOR,
     }),
@@ -116,6 +124,18 @@
   return ((ahead + busy) / Math.max(1, state.warmSlots)) * state.serviceTimeMs;
 }
 
+/**
+ * Returns whether a call to a leaf would show its current service time: the leaf is idle, and it
+ * has not answered for so long that it may be faster by now.
+ *
+ * @param state - State of the leaf.
+ * @param nowMs - Current time, in milliseconds.
+ * @returns Whether the mean service time must not be a reason to refuse a call.
+ */
+export function needsMeasurement({ answeredAtMs, inFlight }: LeafState, nowMs: number): boolean {
+  return inFlight === 0 && nowMs - answeredAtMs > SERVICE_TIME_VALID_MS;
+}
+
 /**
  * Builds the report of a leaf for entries.
  *
--- a/pool/pool_core.ts
+++ b/pool/pool_core.ts
@@ -116,14 +116,14 @@
   state: PoolState,
   event: Extract<PoolEvent, { readonly kind: "leafAnswered" }>,
 ): PoolStep {
-  const { flightId, outcome, signal, nowMs } = event;
+  const { flightId, outcome, signal, stalledMs, nowMs } = event;
   const flight = state.flights.get(flightId);
   const leaf = state.leafs.get(flight?.leafKey ?? "");
   if (flight === undefined || leaf === undefined) {
     return step<PoolState, PoolEffect>(state, countOne("pool.late_answers"));
   }
   const freed = { ...leaf, inFlight: leaf.inFlight - 1 };
-  const recorded = OUTCOME_HANDLERS[outcome.kind](freed, { flight, nowMs });
+  const recorded = OUTCOME_HANDLERS[outcome.kind](freed, { flight, stalledMs, nowMs });
   const signalled = signal === undefined ? recorded : applySignal(recorded, signal, nowMs);
   const changed = updateLeaf(putLeaf(state, freed), leaf, signalled);
   return andThen(
@@ -134,13 +134,15 @@
 
 interface OutcomeContext {
   readonly flight: Flight;
+  readonly stalledMs: number;
   readonly nowMs: number;
 }
 
 const OUTCOME_HANDLERS: Readonly<
   Record<LeafOutcome["kind"], (leaf: LeafState, context: OutcomeContext) => LeafState>
 > = {
-  answered: (leaf, { flight, nowMs }) => recordAnswer(leaf, nowMs - flight.sentAtMs),
+  answered: (leaf, { flight, stalledMs, nowMs }) =>
+    recordAnswer(leaf, { tookMs: nowMs - flight.sentAtMs - stalledMs, nowMs }),
   refused: (leaf) => ({ ...leaf, failures: 0 }),
   failed: (leaf, { flight, nowMs }) =>
     // A call cancelled by its last waiter does not count as a failure of the leaf.
--- a/pool/pool_core_test.ts
+++ b/pool/pool_core_test.ts
@@ -51,9 +51,10 @@
     return this.send({ kind: "callsArrived", nowMs, entryId: "e", calls: [], cancelledCallIds });
   }
 
-  finish(flightId: string, outcome: LeafOutcome): ReadonlyArray<PoolEffect> {
+  finish(flightId: string, outcome: LeafOutcome, stalledMs = 0): ReadonlyArray<PoolEffect> {
     const { nowMs } = this;
-    return this.send({ kind: "leafAnswered", nowMs, flightId, outcome, signal: undefined });
+    const signal = undefined;
+    return this.send({ kind: "leafAnswered", nowMs, flightId, stalledMs, outcome, signal });
   }
 }
 
@@ -164,3 +165,26 @@
   t.equal(dispatches(pool.finish(flight?.flightId ?? "", ROWS)).length, 1);
   t.equal(dispatches(pool.call("c")).length, 1);
 });
+
+t.test("the pool does not take its own stall for slowness of a leaf", async (t) => {
+  const pool = new PoolHarness();
+  const [flight] = dispatches(pool.call("a", { remainingMs: 20_000 }));
+  pool.nowMs += 5_010;
+  pool.finish(flight?.flightId ?? "", ROWS, 5_000);
+  t.equal(dispatches(pool.call("b", { remainingMs: 500 })).length, 1);
+  t.equal(pool.state.leafs.get("wide leaf-0")?.serviceTimeMs, 10);
+});
+
+t.test("the pool calls an idle leaf whose service time it has not seen for long", async (t) => {
+  const pool = new PoolHarness();
+  const [flight] = dispatches(pool.call("a", { remainingMs: 20_000 }));
+  pool.nowMs += 5_000;
+  pool.finish(flight?.flightId ?? "", ROWS);
+  t.match(results(pool.call("b")), [{ kind: "refused", reason: "overloaded" }]);
+  pool.nowMs += 2_001;
+  const [second] = dispatches(pool.call("c"));
+  t.ok(second !== undefined, "a leaf that was slow may have recovered");
+  t.match(results(pool.call("d")), [{ reason: "overloaded" }], "one call at a time finds out");
+  pool.nowMs += 5;
+  pool.finish(second?.flightId ?? "", ROWS);
+});
--- a/pool/pool_messages.ts
+++ b/pool/pool_messages.ts
@@ -61,6 +61,8 @@
       readonly kind: "leafAnswered";
       readonly nowMs: number;
       readonly flightId: string;
+      /** Time for which the pool was stalled since it sent the call, in milliseconds. */
+      readonly stalledMs: number;
       readonly outcome: LeafOutcome;
       /** State reported with the answer, if any. */
       readonly signal: LeafSignal | undefined;
--- a/pool/pool_shell.ts
+++ b/pool/pool_shell.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { leafClient } from "../backend/mod.js";
+import { StallMeter } from "../clock/mod.js";
 import { ownersOf } from "../control/mod.js";
 import {
   type CoreRunner,
@@ -144,8 +145,11 @@
   const leafs = leafClient({ incarnation: self.incarnation });
   const timers = coreTimers<{ readonly kind: string }, PoolEvent>(send, nowMs);
 
+  const stalls = new StallMeter({ nowMs, intervalMs: KEEPALIVE_INTERVAL_MS });
+
   // Keeps the streams of entries with pending calls active.
   const keepaliveTimer = setInterval(() => {
+    stalls.tick();
     for (const stream of streams.values()) {
       if (stream.pendingCalls > 0 && nowMs() - stream.flushedAtMs >= KEEPALIVE_INTERVAL_MS) {
         flush(stream);
@@ -165,16 +169,19 @@
   const handlers: EffectHandlers<PoolEffect> = {
     ...control.handlers,
     setTimer: ({ timer, delayMs }) => timers.set(timer, delayMs),
-    dispatch: ({ dispatch }) =>
+    dispatch: ({ dispatch }) => {
+      const sentAtStalledMs = stalls.totalMs();
       leafs.dispatch(dispatch, ({ outcome, signal }) =>
         send({
           kind: "leafAnswered",
           nowMs: nowMs(),
           flightId: dispatch.flightId,
+          stalledMs: stalls.totalMs() - sentAtStalledMs,
           outcome,
           signal,
         }),
-      ),
+      );
+    },
     cancelDispatch: ({ flightId, leaf }) => leafs.cancel(flightId, leaf),
     reply: ({ entryId, results, reports }) => {
       const stream = streams.get(entryId);
--- a/pool/pool_state.ts
+++ b/pool/pool_state.ts
@@ -46,6 +46,8 @@
   /** Ids of the flights that wait for a slot, next one first. */
   readonly queue: ReadonlyArray<string>;
   readonly serviceTimeMs: number;
+  /** Time of the last answer, in milliseconds. */
+  readonly answeredAtMs: number;
   /** Maximum number of slots in use; grows with each answer while the leaf warms up. */
   readonly warmSlots: number;
   readonly failures: number;
@@ -100,6 +102,7 @@
     inFlight: 0,
     queue: [],
     serviceTimeMs: 0,
+    answeredAtMs: 0,
     warmSlots: leaf.slots,
     failures: 0,
   };
--- a/soak/soak_pools.ts
+++ b/soak/soak_pools.ts
@@ -95,7 +95,7 @@
     const { flightId, leaf: spec } = dispatch;
     const leaf = leafs.get(spec.leafId);
     const finish = (answer: LeafAnswer): void => {
-      node.deliver((nowMs) => ({ kind: "leafAnswered", nowMs, flightId, ...answer }));
+      node.deliver((nowMs) => ({ kind: "leafAnswered", nowMs, flightId, stalledMs: 0, ...answer }));
     };
     const fail = (notSent: boolean): void =>
       finish({ outcome: { kind: "failed", reason: "leaf failed", notSent }, signal: undefined });
