--- a/admission/overload.ts
+++ b/admission/overload.ts
@@ -16,8 +16,8 @@
 }
 
 /**
- * Fraction of shards that must have a longer queueing delay; high enough to ignore single slow
- * leafs.
+ * Fraction of shards that must have a longer queueing delay. Slow or pausing leafs alone are fewer;
+ * a request that lacks only their parts is answered without them, or late.
  */
 const OVERLOADED_SHARE = 0.45;
 
--- a/admission/queue_allowance.ts
+++ b/admission/queue_allowance.ts
@@ -17,8 +17,8 @@
 }
 
 /**
- * Fraction of the latency objective that may be spent in queues; the remainder is for processing
- * and the network.
+ * Fraction of the latency objective that may be spent in queues. The remainder is for the network
+ * and for processing, where a query over many shards waits for the slowest leaf.
  */
 const QUEUE_OBJECTIVE_SHARE = 0.15;
 
--- a/box/box_shell.ts
+++ b/box/box_shell.ts
@@ -46,7 +46,7 @@
  */
 const CLEANUP_INTERVAL_MS = 200;
 
-/** The same interval on a standby box, in milliseconds. */
+/** The same interval on a standby box, where nothing can be overdue, in milliseconds. */
 const STANDBY_CLEANUP_INTERVAL_MS = 1_000;
 
 /** Maximum size of request bodies until a configuration sets the limit, in bytes. */
--- a/box/caller_server.ts
+++ b/box/caller_server.ts
@@ -20,7 +20,10 @@
 /** A request that has been read completely. */
 export interface IncomingRequest {
   readonly arrivedAtMs: number;
-  /** Whether it is the first request on its connection. */
+  /**
+   * Whether it is the first request on its connection, so that the caller has also waited for the
+   * connection.
+   */
   readonly opensConnection: boolean;
   readonly host: string;
   readonly terms: CallerHeaders;
@@ -52,7 +55,7 @@
 /** Maximum size of the headers in bytes; higher than the limit that callers apply themselves. */
 const MAX_HEADER_BYTES = 65_536;
 
-/** Maximum time for receiving a request, in milliseconds. */
+/** Maximum time for receiving a request, in milliseconds; well above the deadlines of callers. */
 const REQUEST_TIMEOUT_MS = 30_000;
 
 /**
--- a/calls/leaf_call.ts
+++ b/calls/leaf_call.ts
@@ -31,8 +31,9 @@
 }
 
 /**
- * Maximum total length of the answers of one request, in bytes. Bounds the memory that an endless
- * answer can take.
+ * Maximum total length of the answers of one request, in bytes: a fraction of the smallest box's
+ * memory. An endless answer would otherwise use up the box's memory, and the caller would repeat
+ * the request at the next box.
  */
 const MAX_REQUEST_BYTES = 48 * 1_048_576;
 
--- a/cluster_state/evacuations.ts
+++ b/cluster_state/evacuations.ts
@@ -10,7 +10,8 @@
 
 /**
  * Time for which an evacuation that a restored store lacks remains in effect, in milliseconds, so
- * that operators can write it again.
+ * that operators can write it again. A data centre that stays unused for too long loses no request
+ * that has a leaf elsewhere.
  */
 const REWRITE_TIMEOUT_MS = 10_000;
 
--- a/cluster_state/leaf_registry.ts
+++ b/cluster_state/leaf_registry.ts
@@ -120,7 +120,7 @@
   /**
    * Drops the leafs whose entry did not reappear in time. While the store is unreachable, no entry
    * can reappear for this box, and only leafs that a peer reported as expired are dropped: that
-   * peer does not report the removal again.
+   * peer does not report the removal again, and such a leaf would be called for seconds otherwise.
    *
    * @param options - Whether this box can reach the store.
    */
--- a/fleet/fleet_view.ts
+++ b/fleet/fleet_view.ts
@@ -10,7 +10,7 @@
 import { servingBoxes } from "./serving_boxes.js";
 import { storeWatchers } from "./store_watchers.js";
 
-/** Maximum number of connections of one box to a leaf. */
+/** Maximum number of connections of one box to a leaf; a leaf has too few slots to use more. */
 const MAX_CONNECTIONS = 8;
 
 /** This box's share of the slack of extra calls, and what it follows from. */
--- a/fleet/serving_boxes.ts
+++ b/fleet/serving_boxes.ts
@@ -17,7 +17,11 @@
  */
 const MIN_CORES_SHARE = 0.5;
 
-/** Minimum share of the cores of a region's largest box with which a box counts as large. */
+/**
+ * Minimum share of the cores of a region's largest box with which a box counts as large. Smaller
+ * boxes take several times as long for a query over many shards, whose parts also occupy their
+ * slower links.
+ */
 const LARGE_BOX_SHARE = 0.5;
 
 /**
--- a/leafs/choose_leaf.ts
+++ b/leafs/choose_leaf.ts
@@ -50,8 +50,9 @@
 
 /**
  * Cost factor for the time by which a leaf that reports a slowdown is expected to exceed its share
- * of the latency objective. Does not apply to leafs that merely have a queue, as all queries would
- * then move to another region at the same time.
+ * of the latency objective; the cost of distance alone would keep queries at near leafs that take
+ * the entire objective. Does not apply to leafs that merely have a queue, as all queries would then
+ * move to another region at the same time, where calls would wait beyond their deadlines.
  */
 const LATE_COST_FACTOR = 4;
 
--- a/leafs/leaf_health.ts
+++ b/leafs/leaf_health.ts
@@ -71,13 +71,16 @@
  */
 const INITIAL_AVOID_MS = 100;
 
-/** Weight of one call in the moving average of the failure rate. */
+/**
+ * Weight of one call in the moving average of the failure rate. A single failure does not turn a
+ * box away from a near leaf; failures of two out of three calls do.
+ */
 const FAILURE_WEIGHT = 0.12;
 
 /** Time after the last failure at which the failure rate has decayed to 0, in milliseconds. */
 const FAILURE_DECAY_MS = 3_000;
 
-/** Maximum time for which a failing leaf is avoided, in milliseconds. */
+/** Maximum time for which a failing leaf is avoided, in milliseconds; it may have restarted by then. */
 const MAX_AVOID_MS = 2_000;
 
 /**
--- a/leafs/leaf_slowdown.ts
+++ b/leafs/leaf_slowdown.ts
@@ -24,7 +24,10 @@
 /** Two reports are similar if they differ by no more than this factor. */
 const SIMILAR_FACTOR = 1.5;
 
-/** Minimum time for which a report is valid, in milliseconds. */
+/**
+ * Minimum time for which a report is valid, in milliseconds. Many slowdowns last for a fraction of a
+ * second, and a report comes at a random moment of one.
+ */
 const MIN_REPORT_TTL_MS = 250;
 
 /**
--- a/quarantine/quarantine.ts
+++ b/quarantine/quarantine.ts
@@ -49,7 +49,8 @@
 
 /**
  * Time for which a quarantined query is blocked, in milliseconds; after that, one box may try it
- * again.
+ * again. An index can bear the loss of one leaf that often, and a query whose fault has been fixed
+ * waits no longer.
  */
 const QUARANTINE_MS = 600_000;
 
--- a/relay/relay_calls.ts
+++ b/relay/relay_calls.ts
@@ -30,7 +30,8 @@
 
 /**
  * Time after the wait limit of a merged request at which an unresponsive connection is closed, in
- * milliseconds. The relaying box sends a frame at the wait limit even if it has no parts.
+ * milliseconds. The relaying box sends a frame at the wait limit even if it has no parts. A box
+ * that has just started takes longer, and its calls would be aborted with the connection.
  */
 const UNRESPONSIVE_MARGIN_MS = 1_000;
 
--- a/request/_attempts.ts
+++ b/request/_attempts.ts
@@ -223,7 +223,10 @@
   return kind === "retry" && openCallsReachMinShare(state) ? "hedge" : kind;
 }
 
-/** Refusals of a shard after which leafs that refused it are not called again. */
+/**
+ * Refusals of a shard after which leafs that refused it are not called again. A leaf that refuses
+ * almost half of its calls at random has almost always accepted one by then.
+ */
 const MAX_REFUSALS = 4;
 
 /**
