Waits for a pool: one log line when they end, and a retry delay with the refusal

Found while reading the diff: each shard that waits wrote a line of its own, up to some hundred a query; the query's placement line already says "nowhere" for it. The refusal after a wait had no time to return.

--- a/entry/awaiting_fetches.ts
+++ b/entry/awaiting_fetches.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { andThen, forEachStep, step } from "../core/mod.js";
+import { andThen, forEachStep, logInfo, step } from "../core/mod.js";
 import { sendAttempt } from "./attempts.js";
 import { chooseTarget } from "./candidates.js";
 import type { EntryEffect } from "./entry_messages.js";
@@ -11,6 +11,9 @@
 import { type FetchStep, removeFetch, sendFirstAttempt, unsettled } from "./fetches.js";
 import { clearPoolWait } from "./pool_wait.js";
 
+/** Retry delay of a query for which no pool was connected in time, in milliseconds. */
+const NO_POOL_RETRY_MS = 1_000;
+
 /**
  * Sends the fetches that wait for a pool, after one was connected.
  *
@@ -22,7 +25,11 @@
   const awaiting = [...state.fetches.values()].filter((fetch) => {
     return fetch.awaitsPoolSinceMs !== undefined;
   });
-  return forEachStep(step<EntryState, EntryEffect>(state), awaiting, (next, fetch) => {
+  if (awaiting.length === 0) {
+    return step(state);
+  }
+  const log = logInfo("placement", `sends ${awaiting.length} fetches that waited for a pool`);
+  return forEachStep(step<EntryState, EntryEffect>(state, log), awaiting, (next, fetch) => {
     return sendAwaitingFetch(next, fetch, nowMs);
   });
 }
@@ -60,5 +67,6 @@
   }
   const notRun = awaiting.attempts.every((attempt) => attempt.notRun);
   const outcome = { kind: "lacking", reason: awaiting.lastReason, notRun } as const;
-  return { ...removeFetch(state, awaiting), settled: { fetch: awaiting, outcome } };
+  const fetch: Fetch = { ...awaiting, lastRetryAfterMs: NO_POOL_RETRY_MS };
+  return { ...removeFetch(state, awaiting), settled: { fetch, outcome } };
 }
--- a/entry/entry_core_test.ts
+++ b/entry/entry_core_test.ts
@@ -317,7 +317,8 @@
   core.nowMs += 2_500;
   const [fetchId = ""] = core.state.fetches.keys();
   core.send({ kind: "poolWait", id: fetchId });
-  t.match(core.answersTo("q1"), [{ outcome: "refused", notRun: true }]);
+  const refusal = { outcome: "refused", notRun: true, statusCode: 503, retryAfterMs: 1_000 };
+  t.match(core.answersTo("q1"), [refusal]);
   t.equal(core.state.fetches.size, state.fetches.size, "the fetch is removed");
   t.equal(core.state.fetchesByService.get("wide"), 0);
 });
--- a/entry/pool_wait.ts
+++ b/entry/pool_wait.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import { logInfo, step } from "../core/mod.js";
+import { step } from "../core/mod.js";
 import { SUSPICION_TIMEOUT_MS } from "../membership/mod.js";
 import { MIN_ATTEMPT_MS } from "./attempts.js";
 import type { EntryEffect } from "./entry_messages.js";
@@ -49,11 +49,6 @@
       timer: { kind: "poolWait", id: fetch.fetchId },
       delayMs: Math.min(MAX_POOL_WAIT_MS, fetch.deadlineAtMs - nowMs),
     },
-    logInfo("placement", `fetch ${fetch.fetchId} waits for a pool`, {
-      service: fetch.service,
-      shard: fetch.shard,
-      leftMs: fetch.deadlineAtMs - nowMs,
-    }),
   );
 }
 
