A successful probe resets a leaf's failed probes

Failed probes and failed calls are now counted apart: a signal of the leaf resets the former only, so that a leaf that answers probes and fails its calls still goes down after two.

--- a/pool/leaf_changes.ts
+++ b/pool/leaf_changes.ts
@@ -11,7 +11,7 @@
 import {
   applySignal,
   conditionChangeLog,
-  recordFailure,
+  recordFailedProbe,
   reportLeaf,
   setCondition,
 } from "./leaf_condition.js";
@@ -107,7 +107,7 @@
   const effectiveSignal = isBoxLeaving(state, current.leaf) ? "draining" : signal;
   const probed =
     effectiveSignal === undefined
-      ? recordFailure(current, nowMs)
+      ? recordFailedProbe(current, nowMs)
       : applySignal(current, effectiveSignal, nowMs);
   return updateLeaf(state, tracked ?? { ...current, condition: "ready" }, probed);
 }
--- a/pool/leaf_condition.ts
+++ b/pool/leaf_condition.ts
@@ -46,24 +46,42 @@
  * @returns The new state of the leaf.
  */
 export function applySignal(state: LeafState, signal: LeafSignal, nowMs: number): LeafState {
+  const signalled = state.failedProbes === 0 ? state : { ...state, failedProbes: 0 };
   if (signal === "ready" && nowMs < state.ignoreReadyUntilMs) {
-    return state;
+    return signalled;
   }
-  return setCondition(state, signal, nowMs);
+  return setCondition(signalled, signal, nowMs);
 }
 
 /**
- * Records a failed call or probe. After `DOWN_AFTER_FAILURES` consecutive failures the leaf is down,
- * unless it is draining.
+ * Records a failed call.
  *
  * @param state - State of the leaf.
  * @param nowMs - Current time, in milliseconds.
  * @returns The new state of the leaf.
  */
 export function recordFailure(state: LeafState, nowMs: number): LeafState {
-  const failed = { ...state, failures: state.failures + 1 };
-  const isDown = failed.failures >= DOWN_AFTER_FAILURES && state.condition !== "draining";
-  return isDown ? setCondition(failed, "down", nowMs) : failed;
+  return downAfterFailures({ ...state, failures: state.failures + 1 }, nowMs);
+}
+
+/**
+ * Records a failed probe. A signal of the leaf resets the number of failed probes, but not of failed
+ * calls, as a leaf may answer probes and fail calls.
+ *
+ * @param state - State of the leaf.
+ * @param nowMs - Current time, in milliseconds.
+ * @returns The new state of the leaf.
+ */
+export function recordFailedProbe(state: LeafState, nowMs: number): LeafState {
+  return downAfterFailures({ ...state, failedProbes: state.failedProbes + 1 }, nowMs);
+}
+
+/** Marks a leaf as down after `DOWN_AFTER_FAILURES` failures, unless it is draining. */
+function downAfterFailures(failed: LeafState, nowMs: number): LeafState {
+  const hasFailed = failed.failures + failed.failedProbes >= DOWN_AFTER_FAILURES;
+  return hasFailed && failed.condition !== "draining"
+    ? setCondition(failed, "down", nowMs)
+    : failed;
 }
 
 /**
@@ -85,6 +103,7 @@
     ignoreReadyUntilMs: nowMs + HOLD_MS[condition],
     warmSlots: isRecovering ? 1 : state.warmSlots,
     failures: isRecovering ? 0 : state.failures,
+    failedProbes: isRecovering ? 0 : state.failedProbes,
   };
 }
 
--- a/pool/pool_core_test.ts
+++ b/pool/pool_core_test.ts
@@ -188,3 +188,28 @@
   pool.nowMs += 5;
   pool.finish(second?.flightId ?? "", ROWS);
 });
+
+t.test("failed probes with a successful one in between do not take a leaf out", async (t) => {
+  const pool = new PoolHarness();
+  const leafKey = "wide leaf-0";
+  function probe(signal: "ready" | undefined): string | undefined {
+    pool.send({ kind: "leafProbed", nowMs: pool.nowMs, leafKey, signal });
+    return pool.state.leafs.get(leafKey)?.condition;
+  }
+  t.equal(probe(undefined), "ready");
+  t.equal(probe("ready"), "ready");
+  t.equal(probe(undefined), "ready", "the first failure since the leaf answered");
+  t.equal(probe(undefined), "down", "the second one in a row");
+});
+
+t.test("successful probes do not keep a leaf that fails its calls", async (t) => {
+  const pool = new PoolHarness();
+  const leafKey = "wide leaf-0";
+  const outcome = { kind: "failed", reason: "leaf failed", notSent: false } as const;
+  for (const callId of ["a", "b"]) {
+    const [flight] = dispatches(pool.call(callId));
+    pool.finish(flight?.flightId ?? "", outcome);
+    pool.send({ kind: "leafProbed", nowMs: pool.nowMs, leafKey, signal: "ready" });
+  }
+  t.equal(pool.state.leafs.get(leafKey)?.condition, "down");
+});
--- a/pool/pool_state.ts
+++ b/pool/pool_state.ts
@@ -50,7 +50,10 @@
   readonly answeredAtMs: number;
   /** Maximum number of slots in use; grows with each answer while the leaf warms up. */
   readonly warmSlots: number;
+  /** Calls that failed since the last answer. */
   readonly failures: number;
+  /** Probes that failed since the last signal. */
+  readonly failedProbes: number;
 }
 
 /** State of a pool. */
@@ -105,5 +108,6 @@
     answeredAtMs: 0,
     warmSlots: leaf.slots,
     failures: 0,
+    failedProbes: 0,
   };
 }
