Tests: the logs of the processes of a failed test file are printed and kept

Change: the processes of a test write to test_logs/ (latest 4 MB each); run_tests.js prints the warnings and the last lines of the processes of each failed file, also of known failures and files that ran out of time, and deletes those of passed files.

--- a/standins/processes.ts
+++ b/standins/processes.ts
@@ -5,6 +5,7 @@
  */
 import { type ChildProcess, spawn } from "node:child_process";
 import { createInterface } from "node:readline";
+import { createProcessLog } from "./process_log.js";
 
 /** Time within which a process must report its ports, in milliseconds. */
 const START_TIMEOUT_MS = 20_000;
@@ -52,7 +53,15 @@
     child.on("exit", (code) => resolve(code ?? -1));
   });
   const logTail: Array<string> = [];
-  const ports = await waitForPorts(child, { logTail, startedText });
+  const log = createProcessLog(program, child.pid ?? 0);
+  const onLine = (line: string): void => {
+    log?.append(line);
+    logTail.push(line);
+    if (logTail.length > MAX_LOG_LINES) {
+      logTail.shift();
+    }
+  };
+  const ports = await waitForPorts(child, { logTail, startedText, onLine });
   return {
     pid: child.pid ?? 0,
     ports,
@@ -65,13 +74,15 @@
 const MAX_LOG_LINES = 200;
 
 interface WaitForPortsOptions {
-  readonly logTail: Array<string>;
+  readonly logTail: ReadonlyArray<string>;
   readonly startedText: string | undefined;
+  /** Called with each line of the output, also after the process is ready. */
+  readonly onLine: (line: string) => void;
 }
 
 function waitForPorts(
   child: ChildProcess,
-  { logTail, startedText }: WaitForPortsOptions,
+  { logTail, startedText, onLine }: WaitForPortsOptions,
 ): Promise<Readonly<Record<string, number>>> {
   return new Promise((resolve, reject) => {
     const timer = setTimeout(
@@ -79,10 +90,7 @@
       START_TIMEOUT_MS,
     );
     function handleLine(line: string): void {
-      logTail.push(line);
-      if (logTail.length > MAX_LOG_LINES) {
-        logTail.shift();
-      }
+      onLine(line);
       if (line.startsWith('{"listening"')) {
         clearTimeout(timer);
         resolve((JSON.parse(line) as { listening: Record<string, number> }).listening);
--- a/tools/run_tests.ts
+++ b/tools/run_tests.ts
@@ -1,19 +1,27 @@
 /**
  * Runs the tests with tap and prints `N passed, N failed` as the last line. Failures listed in
- * KNOWN-RED.txt are printed but not counted as failed.
+ * KNOWN-RED.txt are printed but not counted as failed. The logs of the processes that failed test
+ * files started are printed and kept in `test_logs/`.
  *
  * @module
  */
 import { spawn } from "node:child_process";
-import { readdirSync, readFileSync } from "node:fs";
+import { readdirSync, readFileSync, rmSync } from "node:fs";
+import { resolve } from "node:path";
 import { Parser } from "tap-parser";
+import { LOG_DIRECTORY_VARIABLE } from "../standins/process_log.js";
+import { deletePassedLogs, formatFailureLogs } from "./failure_logs.js";
 
 /** Timeout of each test file, in seconds. */
 const FILE_TIMEOUT_S = 400;
 
+/** Directory for the logs of the processes that tests start. */
+const LOG_DIRECTORY = resolve("test_logs");
+
 interface Tally {
   passed: number;
   readonly failures: Array<string>;
+  readonly failedFiles: Array<string>;
 }
 
 function readKnownFailures(): ReadonlyArray<string> {
@@ -31,6 +39,9 @@
 function countTests(parser: Parser, tally: Tally): void {
   parser.on("child", (child: Parser) => countTests(child, tally));
   parser.on("assert", (result) => {
+    if (parser.level === 0 && !result.ok) {
+      tally.failedFiles.push(result.name);
+    }
     const isTest = result.name !== "" && parser.level === 1;
     if (!isTest) {
       return;
@@ -45,10 +56,11 @@
 }
 
 async function runTap(files: ReadonlyArray<string>): Promise<Tally & { readonly code: number }> {
-  const tally: Tally = { passed: 0, failures: [] };
+  const tally: Tally = { passed: 0, failures: [], failedFiles: [] };
   const args = ["tap", "--disable-coverage", "--reporter=tap", "--jobs=4"];
   const child = spawn("npx", [...args, `--timeout=${FILE_TIMEOUT_S}`, ...files], {
     stdio: ["ignore", "pipe", "inherit"],
+    env: { ...process.env, [LOG_DIRECTORY_VARIABLE]: LOG_DIRECTORY },
   });
   const parser = new Parser();
   countTests(parser, tally);
@@ -65,7 +77,12 @@
   .map((file) => `dist/${file}`);
 const filters = process.argv.slice(2);
 const selected = files.filter((file) => filters.every((filter) => file.includes(filter))).sort();
-const { passed, failures, code } = await runTap(selected);
+rmSync(LOG_DIRECTORY, { recursive: true, force: true });
+const { passed, failures, failedFiles, code } = await runTap(selected);
+deletePassedLogs(LOG_DIRECTORY, failedFiles);
+for (const line of failedFiles.flatMap((file) => formatFailureLogs(LOG_DIRECTORY, file))) {
+  process.stdout.write(`${line}\n`);
+}
 const knownFailures = readKnownFailures();
 const expectedFailures = failures.filter((name) => knownFailures.includes(name));
 const unexpectedFailures = failures.filter((name) => !knownFailures.includes(name));
