A stalled entry or pool reads what has arrived before its timers act

What callers saw: an entry that stands still for longer than a query's deadline answers "Cannot tell whether the query ran: no leaf answered in time", though all its results had arrived during the stall; and after a shorter stall it sends every open call a second time, through other pools, and logs "bypassed unresponsive pool" for pools that had answered.

Cause: Node runs due timers before it reads, so the deadline and the check for a hedge ran before the results were read.

Evidence: e2e/stalled_daemons_test, entry stopped for 1,200 ms while its leafs run the calls, six times each.

Change: daemon/timers.ts, where all timers of both cores expire: a timer takes effect after the next reading, unless it is replaced or cancelled by then. The box programs do not use it.

--- a/daemon/timers.ts
+++ b/daemon/timers.ts
@@ -10,7 +10,10 @@
   readonly id?: string;
 }
 
-/** Set of pending timers. */
+/**
+ * Set of pending timers. An expired timer takes effect only after the process has read what has
+ * already arrived: after a stall, its results would otherwise count as missing.
+ */
 export class Timers<Key extends TimerKey> {
   readonly #handles = new Map<string, NodeJS.Timeout>();
   readonly #onExpire: (timer: Key) => void;
@@ -32,15 +35,21 @@
     const name = toMapKey(timer);
     clearTimeout(this.#handles.get(name));
     const handle = setTimeout(
-      () => {
-        this.#handles.delete(name);
-        this.#onExpire(timer);
-      },
+      () => setImmediate(() => this.#expire(timer, handle)),
       Math.max(0, delayMs),
     );
     this.#handles.set(name, handle);
   }
 
+  /** Expires a timer, unless it has been replaced or cancelled meanwhile. */
+  #expire(timer: Key, handle: NodeJS.Timeout): void {
+    const name = toMapKey(timer);
+    if (this.#handles.get(name) === handle) {
+      this.#handles.delete(name);
+      this.#onExpire(timer);
+    }
+  }
+
   /**
    * Cancels a timer. Does nothing if it is not pending.
    *
--- /dev/null
+++ b/e2e/stalled_daemons_test.ts
@@ -0,0 +1,93 @@
+// Guards against entries that, after a stall, act before they have read the results that have arrived.
+import t, { type Test } from "tap";
+import type { QueryAnswer } from "../model/mod.js";
+import { delay, Fleet, postJson, SAMPLE_SHAPES, urlOf } from "../standins/mod.js";
+
+const SHAPE = { ...SAMPLE_SHAPES["settle-desk"], dataCentres: ["here"] };
+
+/** Time for which a daemon is stalled, in milliseconds: shorter than until it is considered dead. */
+const STALL_MS = 1_200;
+
+/** Service time of leafs that run calls while an entry is stalled, in milliseconds. */
+const SERVICE_TIME_MS = 100;
+
+interface SentQuery {
+  readonly mark: string;
+  readonly deadlineMs: number;
+}
+
+async function startFleet(t: Test, replicas: number): Promise<Fleet> {
+  const adviceKeepMs = 500;
+  const fleet = await Fleet.start({
+    boxes: 3,
+    dataCentres: ["here"],
+    seed: 4,
+    adviceKeepMs,
+    logLevel: "warn",
+  });
+  t.teardown(() => fleet.stop());
+  await fleet.addService({ ...SHAPE, replicas });
+  return fleet;
+}
+
+async function sendQuery(
+  fleet: Fleet,
+  box: number,
+  { mark, deadlineMs }: SentQuery,
+): Promise<QueryAnswer> {
+  const url = `${urlOf(fleet.boxes[box]?.entry)}/v1/services/settle-desk/query`;
+  const { body } = await postJson(url, { caller: "a", deadlineMs, body: { mark } });
+  return body as QueryAnswer;
+}
+
+async function countRuns(fleet: Fleet): Promise<number> {
+  const runs = await fleet.queryBackends("/admin/runs");
+  return (runs as ReadonlyArray<ReadonlyArray<unknown>>).flat().length;
+}
+
+t.test(
+  "an entry that was stalled sends no second calls for results that have arrived",
+  async (t) => {
+    const fleet = await startFleet(t, 2);
+    await sendQuery(fleet, 0, { mark: "warm", deadlineMs: 5_000 });
+    await fleet.changeLeafs("settle-desk", { serviceTimeMs: SERVICE_TIME_MS });
+    let secondCalls = 0;
+    for (let index = 0; index < 6; index++) {
+      await fleet.queryBackends("/admin/forget");
+      const pending = sendQuery(fleet, 0, { mark: `stall-${index}`, deadlineMs: 5_000 });
+      while ((await countRuns(fleet)) < SHAPE.instances) {
+        await delay(1);
+      }
+      // The leafs run the calls, so that their results arrive during the stall.
+      fleet.boxes[0]?.entry.signal("SIGSTOP");
+      await delay(STALL_MS);
+      fleet.boxes[0]?.entry.signal("SIGCONT");
+      t.equal((await pending).outcome, "complete");
+      await delay(200);
+      secondCalls += (await countRuns(fleet)) - SHAPE.instances;
+    }
+    t.equal(secondCalls, 0);
+  },
+);
+
+t.test(
+  "an entry stalled beyond a deadline answers with the results that have arrived",
+  async (t) => {
+    const fleet = await startFleet(t, 2);
+    await sendQuery(fleet, 0, { mark: "warm", deadlineMs: 5_000 });
+    await fleet.changeLeafs("settle-desk", { serviceTimeMs: SERVICE_TIME_MS });
+    for (let index = 0; index < 6; index++) {
+      await fleet.queryBackends("/admin/forget");
+      const pending = sendQuery(fleet, 0, { mark: `late-${index}`, deadlineMs: STALL_MS / 2 });
+      while ((await countRuns(fleet)) < SHAPE.instances) {
+        await delay(1);
+      }
+      fleet.boxes[0]?.entry.signal("SIGSTOP");
+      await delay(STALL_MS);
+      fleet.boxes[0]?.entry.signal("SIGCONT");
+      const answer = await pending;
+      t.equal(answer.outcome, "complete", answer.message);
+      await delay(200);
+    }
+  },
+);
