A query goes round a stalled pool also where its shard has a single leaf

What callers saw: a query with a shard of one leaf waits for as long as the pool that owns the leaf stands still (1,240 ms in the test, up to its deadline), while queries over shards with several leafs go round it after 100 ms.

Cause: the check that finds an unresponsive pool is the one for hedges, and a fetch with a single leaf, which is never hedged, had none. Another pool can call the leaf as well.

Change: each fetch of a query that may run twice is checked; with a single leaf first after the time from which a pool counts as unresponsive. What must not run twice still waits for its pool.

--- a/e2e/stalled_daemons_test.ts
+++ b/e2e/stalled_daemons_test.ts
@@ -1,4 +1,5 @@
-// Guards against entries that, after a stall, act before they have read the results that have arrived.
+// Guards against entries that wait for a stalled pool although another could send the call, and against
+// entries that, after a stall of their own, act before they have read the results that have arrived.
 import t, { type Test } from "tap";
 import type { QueryAnswer } from "../model/mod.js";
 import { delay, Fleet, postJson, SAMPLE_SHAPES, urlOf } from "../standins/mod.js";
@@ -8,6 +9,9 @@
 /** Time for which a daemon is stalled, in milliseconds: shorter than until it is considered dead. */
 const STALL_MS = 1_200;
 
+/** Time within which queries are answered although a pool is stalled, in milliseconds. */
+const ANSWER_MS = 800;
+
 /** Service time of leafs that run calls while an entry is stalled, in milliseconds. */
 const SERVICE_TIME_MS = 100;
 
@@ -45,6 +49,25 @@
   return (runs as ReadonlyArray<ReadonlyArray<unknown>>).flat().length;
 }
 
+t.test("a shard with a single leaf is answered while its pool is stalled", async (t) => {
+  const fleet = await startFleet(t, 1);
+  await sendQuery(fleet, 0, { mark: "warm", deadlineMs: 5_000 });
+  for (const [stalled, { pool }] of fleet.boxes.entries()) {
+    const asked = (stalled + 1) % fleet.boxes.length;
+    pool.signal("SIGSTOP");
+    const startedAtMs = performance.now();
+    const pending = sendQuery(fleet, asked, { mark: `stall-${stalled}`, deadlineMs: 5_000 }).then(
+      (answer) => ({ answer, tookMs: performance.now() - startedAtMs }),
+    );
+    await delay(STALL_MS);
+    pool.signal("SIGCONT");
+    const { answer, tookMs } = await pending;
+    t.equal(answer.outcome, "complete", answer.message);
+    t.ok(tookMs < ANSWER_MS, `pool ${stalled} stalled: answered after ${Math.round(tookMs)} ms`);
+    await delay(500);
+  }
+});
+
 t.test(
   "an entry that was stalled sends no second calls for results that have arrived",
   async (t) => {
--- a/entry/fetches.ts
+++ b/entry/fetches.ts
@@ -9,7 +9,7 @@
 import { chooseTarget, type Target } from "./candidates.js";
 import type { EntryEffect } from "./entry_messages.js";
 import type { EntryState, EntryStep, Fetch } from "./entry_state.js";
-import { hedgeDelayMs } from "./hedging.js";
+import { firstCheckDelayMs } from "./hedging.js";
 import { awaitPool, clearPoolWait, mayAwaitPool } from "./pool_wait.js";
 
 /** A fetch that has ended, with its outcome for the waiting queries. */
@@ -64,7 +64,8 @@
 }
 
 /**
- * Sends the first attempt of a fetch to a target, and schedules its first check for a hedge.
+ * Sends the first attempt of a fetch to a target, and schedules its first check for a hedge or an
+ * unresponsive pool.
  *
  * @param state - The entry's state.
  * @param fetch - The fetch.
@@ -77,11 +78,11 @@
   options: Target & { readonly nowMs: number },
 ): EntryStep {
   return andThen(sendAttempt(state, fetch, { ...options, purpose: "first" }), (sent) =>
-    fetch.repeatable && fetch.leafIds.length > 1
+    fetch.repeatable
       ? step<EntryState, EntryEffect>(sent, {
           kind: "setTimer",
           timer: { kind: "hedge", id: fetch.fetchId },
-          delayMs: hedgeDelayMs(sent, fetch.service),
+          delayMs: firstCheckDelayMs(sent, fetch),
         })
       : step<EntryState, EntryEffect>(sent),
   );
--- a/entry/hedging.ts
+++ b/entry/hedging.ts
@@ -28,18 +28,26 @@
  */
 const UNRESPONSIVE_AFTER_MS = 100;
 
+function hedgeDelayMs(state: EntryState, service: string): number {
+  const { quantileMs, count } = state.hedgeDelays.get(service) ?? NO_ESTIMATE;
+  return count < MIN_OBSERVATIONS
+    ? INITIAL_HEDGE_DELAY_MS
+    : Math.max(MIN_HEDGE_DELAY_MS, quantileMs);
+}
+
 /**
- * Returns the delay before a hedge.
+ * Returns the delay before a fetch is checked for the first time. A shard with a single leaf is
+ * never hedged, but its call may be stuck in an unresponsive pool.
  *
  * @param state - The entry's state.
- * @param service - The service.
+ * @param fetch - The fetch.
  * @returns Delay, in milliseconds.
  */
-export function hedgeDelayMs(state: EntryState, service: string): number {
-  const { quantileMs, count } = state.hedgeDelays.get(service) ?? NO_ESTIMATE;
-  return count < MIN_OBSERVATIONS
-    ? INITIAL_HEDGE_DELAY_MS
-    : Math.max(MIN_HEDGE_DELAY_MS, quantileMs);
+export function firstCheckDelayMs(
+  state: EntryState,
+  { leafIds, service }: Pick<Fetch, "leafIds" | "service">,
+): number {
+  return leafIds.length > 1 ? hedgeDelayMs(state, service) : UNRESPONSIVE_AFTER_MS;
 }
 
 /**
