A query is not refused or held back because of another service's queue

What callers saw: while queries of one service are queued at an entry, queries of another service with free leafs are refused ("it would miss its deadline") or wait until some call ends, and queued ones are refused as overloaded.

Cause: entry/start_queue.ts counted the queued queries of all services and divided by the room of one; it started a query at once only with an empty queue.

--- a/entry/start_queue.ts
+++ b/entry/start_queue.ts
@@ -19,8 +19,8 @@
 const CALLS_PER_SLOT = 3;
 
 /**
- * Adds a query. Starts it if it is urgent, or if no query is queued and its service has room;
- * queues it otherwise.
+ * Adds a query. Starts it if it is urgent, or if its service has room and no queue; queues it
+ * otherwise.
  *
  * @param state - The entry's state.
  * @param query - The query.
@@ -29,12 +29,24 @@
  */
 export function startOrEnqueue(state: EntryState, query: Query, nowMs: number): EntryStep {
   return andThen(addQuery(state, query, nowMs), (next) =>
-    isUrgent(query) || (next.waitingIds.length === 0 && hasRoom(next, query.request.service))
+    isUrgent(query) || mayStart(next, query.request.service)
       ? startQuery(next, query.queryId, nowMs)
       : step<EntryState, EntryEffect>({ ...next, waitingIds: insert(next, query) }),
   );
 }
 
+function mayStart(state: EntryState, service: string): boolean {
+  return hasRoom(state, service) && queuedQueries(state, service).length === 0;
+}
+
+/** Returns the queued queries of a service, the next one first. */
+function queuedQueries({ queries, waitingIds }: EntryState, service: string): ReadonlyArray<Query> {
+  return waitingIds.flatMap((queryId) => {
+    const query = queries.get(queryId);
+    return query?.request.service === service ? [query] : [];
+  });
+}
+
 function rankOf({ request }: Pick<Query, "request">): number {
   return PRIORITY_RANKS[request.priority];
 }
@@ -86,10 +98,7 @@
     return 0;
   }
   const rank = PRIORITY_RANKS[request.priority];
-  const ahead = state.waitingIds.filter((queryId) => {
-    const other = state.queries.get(queryId);
-    return other !== undefined && rankOf(other) <= rank;
-  });
+  const ahead = queuedQueries(state, request.service).filter((other) => rankOf(other) <= rank);
   return waitMs(state, request.service, ahead.length);
 }
 
@@ -97,7 +106,10 @@
 function waitMs(state: EntryState, service: string, ahead: number): number {
   const meanMs = state.meanQueryMs.get(service) ?? 0;
   const shardMap = state.control.catalog.shardMaps.get(service);
-  const shardCount = shardMap?.snapshots[0]?.shards.length ?? 1;
+  const current = shardMap?.snapshots.find(({ snapshot }) => {
+    return snapshot === shardMap.currentSnapshot;
+  });
+  const shardCount = current?.shards.length ?? 1;
   return (ahead * meanMs) / Math.max(1, maxFetches(state, service) / shardCount);
 }
 
@@ -129,9 +141,16 @@
 const SCHEDULE_START: EntryEffect = { kind: "setTimer", timer: { kind: "startNext" }, delayMs: 0 };
 
 function refuseLate(state: EntryState, nowMs: number): EntryStep {
-  const late = state.waitingIds.flatMap((queryId, index) => {
+  const aheadByService = new Map<string, number>();
+  const late = state.waitingIds.flatMap((queryId) => {
     const query = state.queries.get(queryId);
-    return query !== undefined && isLate(state, query, { ahead: index, nowMs }) ? [query] : [];
+    if (query === undefined) {
+      return [];
+    }
+    const { service } = query.request;
+    const ahead = aheadByService.get(service) ?? 0;
+    aheadByService.set(service, ahead + 1);
+    return isLate(state, query, { ahead, nowMs }) ? [query] : [];
   });
   return forEachStep(step<EntryState, EntryEffect>(state), late, (next, query) => {
     const meanMs = state.meanQueryMs.get(query.request.service) ?? 0;
