A pool keeps count of the open calls of each entry by their ids

What callers saw: their calls are sent a second time, through another pool and outside the budget, as soon as one runs for longer than 100 ms, and the entry logs "bypassed unresponsive pool" for a pool that runs well.

Cause: pool/pool_shell.ts held a number: a call cancelled while its result was under way was taken off twice, so that the number fell below zero for good, and the pool sent no keepalive messages while calls were open. A call refused at once was taken off before it was added, so that the number stayed too high.

Change: a set of the ids of the open calls; calls are added before they are handled.

--- a/pool/pool_shell.ts
+++ b/pool/pool_shell.ts
@@ -24,6 +24,7 @@
 import { decodeCall, encodeResults, listenForPeers, PushQueue } from "../peer/mod.js";
 import { createPlatformClient } from "../platform/mod.js";
 import { startTelemetry } from "../telemetry/mod.js";
+import { PendingCalls } from "./pending_calls.js";
 import { poolLogic } from "./pool_core.js";
 import type { PoolEffect, PoolEvent } from "./pool_messages.js";
 import type { PoolState } from "./pool_state.js";
@@ -39,8 +40,7 @@
   results: Array<CallResult>;
   reports: Map<string, LeafReport>;
   isFlushScheduled: boolean;
-  /** Number of calls without a result. */
-  pendingCalls: number;
+  readonly pendingCalls: PendingCalls;
   flushedAtMs: number;
 }
 
@@ -100,7 +100,7 @@
       queue,
       results: [],
       reports: new Map(),
-      pendingCalls: 0,
+      pendingCalls: new PendingCalls(),
       isFlushScheduled: false,
       flushedAtMs: 0,
     };
@@ -124,8 +124,9 @@
         }
         const { cancelledCallIds } = batch;
         const calls = batch.calls.map(decodeCall);
+        stream.pendingCalls.add(calls);
+        stream.pendingCalls.remove(cancelledCallIds);
         send({ kind: "callsArrived", nowMs: nowMs(), entryId, calls, cancelledCallIds });
-        stream.pendingCalls += calls.length - cancelledCallIds.length;
       }
     } catch {
       // The entry disconnected; its pending calls are cancelled below.
@@ -151,7 +152,8 @@
   const keepaliveTimer = setInterval(() => {
     stalls.tick();
     for (const stream of streams.values()) {
-      if (stream.pendingCalls > 0 && nowMs() - stream.flushedAtMs >= KEEPALIVE_INTERVAL_MS) {
+      const isDue = nowMs() - stream.flushedAtMs >= KEEPALIVE_INTERVAL_MS;
+      if (isDue && !stream.pendingCalls.isEmpty) {
         flush(stream);
       }
     }
@@ -189,7 +191,7 @@
         return;
       }
       stream.results.push(...results);
-      stream.pendingCalls = Math.max(0, stream.pendingCalls - results.length);
+      stream.pendingCalls.remove(results.map(({ callId }) => callId));
       for (const report of reports) {
         stream.reports.set(`${report.service} ${report.leafId}`, report);
       }
