Status and drain wait for a stalled daemon until it is considered dead, and a drain names who has not answered

What operators saw: a daemon that stands still for longer than a second is shown without a report ("cannot be reached"), though all others count it as alive for 2.5 s; a drain passes over such a daemon without a word, and says "Cannot find box" if it is the only one.

Cause: both calls gave up after 1 s, and the drain swallowed the failure.

Change: 2.5 s, the time after which a silent daemon is considered dead; the drain's answer has `unanswered`, and `rackvale drain` prints them and ends with a failure. Both stay within the time; a status with a dead daemon takes 2.5 s in place of 1 s until the daemon is known as dead.

Tests: e2e/stalled_daemons_test, fourth and fifth, red before (3 passed, 2 failed), green after.

--- a/cli/status_command.ts
+++ b/cli/status_command.ts
@@ -79,8 +79,19 @@
   if (statusCode !== 202) {
     return { exitCode: EXIT_CODES.failed, lines: [errorMessage(body)], data: body };
   }
-  const { draining } = body as { readonly draining: ReadonlyArray<string> };
-  return { exitCode: EXIT_CODES.ok, lines: [`draining ${draining.join(", ")}`], data: body };
+  const { draining, unanswered } = body as {
+    readonly draining: ReadonlyArray<string>;
+    readonly unanswered: ReadonlyArray<string>;
+  };
+  const lines = [
+    `draining ${draining.join(", ")}`,
+    ...unanswered.map((memberId) => `${memberId} did not answer, drain it again`),
+  ];
+  return {
+    exitCode: unanswered.length === 0 ? EXIT_CODES.ok : EXIT_CODES.failed,
+    lines,
+    data: body,
+  };
 }
 
 /** Commands by name. */
--- a/e2e/stalled_daemons_test.ts
+++ b/e2e/stalled_daemons_test.ts
@@ -1,8 +1,9 @@
-// Guards against entries that wait for a stalled pool although another could send the call, and against
-// entries that, after a stall of their own, act before they have read the results that have arrived.
+// Guards against entries that treat a stalled daemon as gone, and against entries that, after a stall of
+// their own, act before they have read the results that have arrived.
 import t, { type Test } from "tap";
+import type { DaemonStatus } from "../cli/status_command.js";
 import type { QueryAnswer } from "../model/mod.js";
-import { delay, Fleet, postJson, SAMPLE_SHAPES, urlOf } from "../standins/mod.js";
+import { delay, Fleet, getJson, postJson, SAMPLE_SHAPES, urlOf } from "../standins/mod.js";
 
 const SHAPE = { ...SAMPLE_SHAPES["settle-desk"], dataCentres: ["here"] };
 
@@ -114,3 +115,27 @@
     }
   },
 );
+
+t.test("the status holds the reports of daemons that are stalled for a moment", async (t) => {
+  const fleet = await startFleet(t, 2);
+  const [first, second] = fleet.boxes;
+  second?.pool.signal("SIGSTOP");
+  const pending = getJson(`${urlOf(first?.entry)}/v1/status`);
+  await delay(STALL_MS);
+  second?.pool.signal("SIGCONT");
+  const { daemons } = (await pending) as { readonly daemons: ReadonlyArray<DaemonStatus> };
+  t.same(
+    daemons.filter(({ report }) => report === undefined).map(({ memberId }) => memberId),
+    [],
+  );
+});
+
+t.test("a drain names the daemons that have not answered", async (t) => {
+  const fleet = await startFleet(t, 2);
+  const [first, second] = fleet.boxes;
+  second?.pool.signal("SIGSTOP");
+  const { statusCode, body } = await postJson(`${urlOf(first?.entry)}/v1/drain/box-2`, {});
+  second?.pool.signal("SIGCONT");
+  t.equal(statusCode, 202);
+  t.same(body, { draining: ["box-2/entry"], unanswered: ["box-2/pool"] });
+});
--- a/entry/operator_api.ts
+++ b/entry/operator_api.ts
@@ -9,8 +9,8 @@
 import { objectKey, type SubmitOutcome, submitObject } from "../catalog/mod.js";
 import type { ControlState } from "../control/mod.js";
 import type { ControlShell } from "../daemon/mod.js";
+import { SUSPICION_TIMEOUT_MS } from "../membership/mod.js";
 import { type CatalogObject, MAX_BODY_BYTES, type Member } from "../model/mod.js";
-import { PEER_TIMEOUT_MS } from "../peer/mod.js";
 import type { PlatformPort } from "../platform/mod.js";
 import { compilePolicies, evaluatePolicies, SAMPLE_INPUT } from "../policy/mod.js";
 import { checkValue } from "./_check_value.js";
@@ -20,6 +20,9 @@
 /** Delay between attempts of a submission, in milliseconds. */
 const SUBMIT_RETRY_DELAY_MS = 300;
 
+/** Timeout for a daemon, in milliseconds: one that has not answered by then is considered dead. */
+const DAEMON_TIMEOUT_MS = SUSPICION_TIMEOUT_MS;
+
 /** Dependencies of the operators' handlers. */
 export interface OperatorApiOptions {
   readonly platform: PlatformPort;
@@ -204,7 +207,7 @@
     members.map(async (member) => {
       try {
         const { rpc } = options.control.client(member);
-        const { reportJson } = await rpc.report({}, { timeoutMs: PEER_TIMEOUT_MS });
+        const { reportJson } = await rpc.report({}, { timeoutMs: DAEMON_TIMEOUT_MS });
         return { memberId: member.memberId, reached: true, report: JSON.parse(reportJson) };
       } catch {
         return { memberId: member.memberId, reached: false, state: member.state };
@@ -222,27 +225,38 @@
     .filter((member) => member.state !== "dead");
 }
 
-/** Starts the planned stop of all daemons of a box. */
+/**
+ * Starts the planned stop of all daemons of a box. Daemons that do not answer are named, as whether
+ * they stop is not known.
+ */
 async function drain({ response, name }: ApiRequest, options: OperatorApiOptions): Promise<void> {
   const { self } = options.state().membership;
   const others = otherMembers(options.state()).filter((member) => member.box === name);
-  const notified = await Promise.all(
+  const unanswered: Array<string> = [];
+  const draining: Array<string> = [];
+  await Promise.all(
     others.map(async (member) => {
       try {
-        await options.control.client(member).rpc.drain({}, { timeoutMs: PEER_TIMEOUT_MS });
-        return [member.memberId];
+        const { rpc } = options.control.client(member);
+        await rpc.drain({}, { timeoutMs: DAEMON_TIMEOUT_MS });
+        draining.push(member.memberId);
       } catch {
-        return [];
+        unanswered.push(member.memberId);
       }
     }),
   );
   if (self.box === name) {
     options.drainSelf();
+    draining.push(self.memberId);
   }
-  const draining = [...notified.flat(), ...(self.box === name ? [self.memberId] : [])];
-  if (draining.length === 0) {
+  if (draining.length + unanswered.length === 0) {
     writeFault(response, httpFault(404, `Cannot find box "${name}" among the live ones`));
     return;
   }
-  writeJson(response, { draining }, { statusCode: 202 });
+  if (draining.length === 0) {
+    const message = `Cannot tell whether box "${name}" drains: none of its daemons answered`;
+    writeFault(response, httpFault(504, message));
+    return;
+  }
+  writeJson(response, { draining, unanswered }, { statusCode: 202 });
 }
