Forwarded queries and probes are not aborted before their answers are read

What callers saw: an entry that stands still beyond the deadline while a query is under way to the entry that issued its ticket answers "Cannot tell whether the query ran: the entry that gave the ticket is silent", though the answer had arrived. A pool that wakes counted a probe as failed whose answer had arrived.

--- a/backend/leaf_client.ts
+++ b/backend/leaf_client.ts
@@ -5,6 +5,7 @@
  */
 import { type Dispatcher, Pool } from "undici";
 import type { Leaf } from "../catalog/mod.js";
+import { timeoutSignal } from "../clock/mod.js";
 import type { Dispatch, LeafOutcome, LeafSignal } from "../pool/pool_messages.js";
 import {
   LEAF_HEADERS,
@@ -95,7 +96,7 @@
         const answer = await poolOf(leaf).request({
           method: "GET",
           path: LEAF_PATHS.load,
-          signal: AbortSignal.timeout(REQUEST_TIMEOUT_MS),
+          signal: timeoutSignal(REQUEST_TIMEOUT_MS),
         });
         const body = (await answer.body.json()) as Readonly<Record<string, unknown>> | null;
         return parseSignal(body?.state);
@@ -123,7 +124,7 @@
       .request({
         method: "GET",
         path: LEAF_PATHS.load,
-        signal: AbortSignal.timeout(REQUEST_TIMEOUT_MS),
+        signal: timeoutSignal(REQUEST_TIMEOUT_MS),
       })
       .then((answer) => answer.body.dump())
       .catch(() => undefined);
@@ -136,7 +137,7 @@
       method: "POST",
       path: LEAF_PATHS.cancel,
       headers: { [LEAF_HEADERS.callId]: callId },
-      signal: AbortSignal.timeout(REQUEST_TIMEOUT_MS),
+      signal: timeoutSignal(REQUEST_TIMEOUT_MS),
     })
     .then((answer) => answer.body.dump())
     .catch(() => undefined);
--- a/e2e/stalled_daemons_test.ts
+++ b/e2e/stalled_daemons_test.ts
@@ -139,3 +139,35 @@
   t.equal(statusCode, 202);
   t.same(body, { draining: ["box-2/entry"], unanswered: ["box-2/pool"] });
 });
+
+t.test(
+  "an entry stalled beyond a deadline hands on the answer of the entry that issued the ticket",
+  async (t) => {
+    const fleet = await startFleet(t, 2);
+    await sendQuery(fleet, 0, { mark: "warm", deadlineMs: 5_000 });
+    await fleet.changeLeafs("settle-desk", { serviceTimeMs: SERVICE_TIME_MS });
+    const [issuer, other] = fleet.boxes;
+    for (let sequence = 1; sequence <= 4; sequence++) {
+      await fleet.queryBackends("/admin/forget");
+      const { ticket } = (await getJson(`${urlOf(issuer?.entry)}/v1/entries?ticket=true`)) as {
+        readonly ticket: string;
+      };
+      const pending = postJson(`${urlOf(other?.entry)}/v1/services/settle-desk/query`, {
+        caller: "a",
+        deadlineMs: STALL_MS / 2,
+        repeatable: false,
+        ticket,
+        sequence,
+        body: { mark: `ticket-${sequence}` },
+      });
+      while ((await countRuns(fleet)) < SHAPE.instances) {
+        await delay(1);
+      }
+      other?.entry.signal("SIGSTOP");
+      await delay(STALL_MS);
+      other?.entry.signal("SIGCONT");
+      const { outcome, message } = (await pending).body as QueryAnswer;
+      t.equal(outcome, "complete", message);
+    }
+  },
+);
--- a/entry/_forwarding.ts
+++ b/entry/_forwarding.ts
@@ -5,6 +5,7 @@
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { request } from "undici";
+import { timeoutSignal } from "../clock/mod.js";
 import { ANSWER_MARGIN_MS, type Member } from "../model/mod.js";
 
 /** Header that marks a query forwarded by another entry. */
@@ -52,7 +53,7 @@
     method: "POST",
     headers: { "content-type": "application/json", [FORWARDED_HEADER]: "true" },
     body: JSON.stringify(body),
-    signal: AbortSignal.timeout(Math.max(1, deadlineMs - ANSWER_MARGIN_MS)),
+    signal: timeoutSignal(Math.max(1, deadlineMs - ANSWER_MARGIN_MS)),
   });
   return { statusCode: answer.statusCode, body: (await answer.body.json()) as object };
 }
