A daemon no longer ends when the connection to a stopping peer fails after its client was closed

Evidence: the log that the failed test left: ConnectError "received GOAWAY without any open streams", an unhandled 'error' event of ClientHttp2Session. A peer that stops sends GOAWAY; the library destroys the session with an error, which is emitted once the socket is closed. If the client is closed in between, as on a change of the peer's state, the library has removed its listener by then.

Why this works: peer/peer_client.ts leaves a listener of its own on each session that has carried a stream. Errors of open streams reach their callers as before.

--- a/peer/peer_client.ts
+++ b/peer/peer_client.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { ClientHttp2Session, ClientHttp2Stream } from "node:http2";
 import { connect, type Socket } from "node:net";
 import { type Client, createClient } from "@connectrpc/connect";
 import { createConnectTransport, Http2SessionManager } from "@connectrpc/connect-node";
@@ -44,7 +45,7 @@
 export function peerClient({ address, peerPort }: PeerAddress): PeerClient {
   const host = address.includes(":") ? `[${address}]` : address;
   const baseUrl = `http://${host}:${peerPort}`;
-  const sessionManager = new Http2SessionManager(
+  const sessionManager = new PeerSessionManager(
     baseUrl,
     {
       idleConnectionTimeoutMs: IDLE_TIMEOUT_MS,
@@ -68,6 +69,27 @@
   return { rpc: createClient(PeerService, transport), close: () => sessionManager.abort() };
 }
 
+/**
+ * Session manager that leaves an error listener on each session. The library removes its own when
+ * the manager is closed, and an error of the session after that would end the process.
+ */
+class PeerSessionManager extends Http2SessionManager {
+  readonly #guarded = new WeakSet<ClientHttp2Session>();
+
+  override async request(
+    ...args: Parameters<Http2SessionManager["request"]>
+  ): Promise<ClientHttp2Stream> {
+    const stream = await super.request(...args);
+    const { session } = stream;
+    if (session !== undefined && !this.#guarded.has(session as ClientHttp2Session)) {
+      this.#guarded.add(session as ClientHttp2Session);
+      // The library reports errors of open streams to their callers.
+      session.on("error", () => undefined);
+    }
+    return stream;
+  }
+}
+
 /** Closes a connection that sends data, such as pings, but receives none. */
 function closeWhenUnresponsive(socket: Socket): Socket {
   let lastBytesRead = 0;
