A pool that was stalled does not run calls that were answered through others

What callers saw: nothing at once; the leafs ran each call of a stalled pool twice, outside the budget of extra calls, just when the service has trouble.

Cause: an entry goes round a pool that is silent for 100 ms, answers, and cancels the call at the pool. The pool that wakes handled each message as it was read, so that the call went to its leaf before the cancellation behind it was read.

Change: pool/pool_shell.ts handles what an entry has sent once all of it has been read, and passes over calls that were cancelled by then.

Test: e2e/one_stalled_pool_test, last test, red with the former pool_shell (6 passed, 1 failed), green with it (7 passed).

--- a/e2e/one_stalled_pool_test.ts
+++ b/e2e/one_stalled_pool_test.ts
@@ -1,9 +1,9 @@
 // Guards against daemons that treat a stalled pool as gone or wait for it although another could send the
-// call.
+// call, and against a pool that after a stall runs calls that nobody waits for.
 import t from "tap";
 import type { DaemonStatus } from "../cli/status_command.js";
 import { delay, getJson, postJson, urlOf } from "../standins/mod.js";
-import { STALL_MS, sendQuery, startFleet } from "./_stalled_fleet.js";
+import { countRuns, STALL_MS, sendQuery, startFleet } from "./_stalled_fleet.js";
 
 /** Time within which queries are answered although a pool is stalled, in milliseconds. */
 const ANSWER_MS = 800;
@@ -50,3 +50,30 @@
   t.equal(statusCode, 202);
   t.same(body, { draining: ["box-2/entry"], unanswered: ["box-2/pool"] });
 });
+
+t.test(
+  "a pool that was stalled does not run calls that were answered through others",
+  async (t) => {
+    const fleet = await startFleet(t, 2);
+    const boxes = [...fleet.boxes.keys()];
+    for (const box of boxes) {
+      await sendQuery(fleet, box, { mark: `warm-${box}`, deadlineMs: 5_000 });
+    }
+    let lateRuns = 0;
+    for (const [stalled, { pool }] of [...fleet.boxes, ...fleet.boxes].entries()) {
+      pool.signal("SIGSTOP");
+      const pending = boxes.map((box) => {
+        return sendQuery(fleet, box, { mark: `stall-${stalled}-${box}`, deadlineMs: 5_000 });
+      });
+      await delay(STALL_MS);
+      const runsBefore = await countRuns(fleet);
+      pool.signal("SIGCONT");
+      for (const answer of await Promise.all(pending)) {
+        t.equal(answer.outcome, "complete", answer.message);
+      }
+      await delay(500);
+      lateRuns += (await countRuns(fleet)) - runsBefore;
+    }
+    t.equal(lateRuns, 0);
+  },
+);
--- a/pool/pool_shell.ts
+++ b/pool/pool_shell.ts
@@ -19,7 +19,7 @@
   runCore,
   telemetryOptions,
 } from "../daemon/mod.js";
-import type { CallResult, LeafReport } from "../entry/entry_messages.js";
+import type { CallResult, LeafCall, LeafReport } from "../entry/entry_messages.js";
 import type { CallBatch, ResultBatch } from "../peer/gen/rackvale/peer/v1/peer_pb.js";
 import { decodeCall, encodeResults, listenForPeers, PushQueue } from "../peer/mod.js";
 import { createPlatformClient } from "../platform/mod.js";
@@ -37,6 +37,9 @@
 
 interface EntryStream {
   readonly queue: PushQueue<ResultBatch>;
+  /** Calls that have been read but not handled yet. */
+  arrivedCalls: Array<LeafCall>;
+  arrivedCancellations: Array<string>;
   results: Array<CallResult>;
   reports: Map<string, LeafReport>;
   isFlushScheduled: boolean;
@@ -98,6 +101,8 @@
     const queue = new PushQueue<ResultBatch>();
     const stream: EntryStream = {
       queue,
+      arrivedCalls: [],
+      arrivedCancellations: [],
       results: [],
       reports: new Map(),
       pendingCalls: new PendingCalls(),
@@ -122,11 +127,11 @@
           stream.queue.push(encodeResults([], []));
           send({ kind: "entryOpened", nowMs: nowMs(), entryId });
         }
-        const { cancelledCallIds } = batch;
-        const calls = batch.calls.map(decodeCall);
-        stream.pendingCalls.add(calls);
-        stream.pendingCalls.remove(cancelledCallIds);
-        send({ kind: "callsArrived", nowMs: nowMs(), entryId, calls, cancelledCallIds });
+        if (stream.arrivedCalls.length + stream.arrivedCancellations.length === 0) {
+          setImmediate(() => handleArrived(entryId, stream));
+        }
+        stream.arrivedCalls.push(...batch.calls.map(decodeCall));
+        stream.arrivedCancellations.push(...batch.cancelledCallIds);
       }
     } catch {
       // The entry disconnected; its pending calls are cancelled below.
@@ -138,6 +143,24 @@
     stream.queue.end();
   }
 
+  /**
+   * Handles what an entry has sent, once all of it has been read: after a stall of this pool, most
+   * calls have been cancelled, as their queries were answered through other pools.
+   */
+  function handleArrived(entryId: string, stream: EntryStream): void {
+    const cancelledCallIds = stream.arrivedCancellations;
+    const cancelled = new Set(cancelledCallIds);
+    const calls = stream.arrivedCalls.filter(({ callId }) => !cancelled.has(callId));
+    stream.arrivedCalls = [];
+    stream.arrivedCancellations = [];
+    if (streams.get(entryId) !== stream) {
+      return;
+    }
+    stream.pendingCalls.add(calls);
+    stream.pendingCalls.remove(cancelledCallIds);
+    send({ kind: "callsArrived", nowMs: nowMs(), entryId, calls, cancelledCallIds });
+  }
+
   const server = await listenForPeers(
     { ...control.service, calls: serveCalls },
     { address: settings.address, port: settings["peer-port"] },
