Test of a new entry: it sends its query once the entry says that it is ready

The test took a first answer that needed over 100 ms for an accepted query, also where that answer was the refusal of an entry that starts.

--- a/e2e/stalled_pools_test.ts
+++ b/e2e/stalled_pools_test.ts
@@ -2,7 +2,15 @@
 // stalled: while it has not connected to any yet, and after the pools have resumed.
 import t from "tap";
 import type { QueryAnswer } from "../model/mod.js";
-import { delay, Fleet, postJson, SAMPLE_SHAPES, urlOf, waitUntil } from "../standins/mod.js";
+import {
+  delay,
+  Fleet,
+  getJson,
+  postJson,
+  SAMPLE_SHAPES,
+  urlOf,
+  waitUntil,
+} from "../standins/mod.js";
 
 const SHAPE = { ...SAMPLE_SHAPES["settle-desk"], dataCentres: ["here"] };
 
@@ -30,22 +38,22 @@
   }
   const added = await fleet.addBox("box-3", "here");
   added.pool.signal("SIGSTOP");
-  let accepted: Promise<QueryAnswer> | undefined;
+  const url = urlOf(added.entry);
   await waitUntil(async () => {
-    accepted = postJson(`${urlOf(added.entry)}/v1/services/settle-desk/query`, {
-      caller: "a",
-      deadlineMs: 5_000,
-      body: { mark: "first" },
-    }).then(({ body }) => body as QueryAnswer);
-    const first = await Promise.race([accepted, delay(100)]);
-    return first === undefined || !first.message.includes("starting");
+    const { phase } = (await getJson(`${url}/ready`)) as { readonly phase: string };
+    return phase === "ready";
   }, "the new entry accepts queries");
+  const accepted = postJson(`${url}/v1/services/settle-desk/query`, {
+    caller: "a",
+    deadlineMs: 5_000,
+    body: { mark: "first" },
+  });
   await delay(STALL_MS);
   for (const { pool } of fleet.boxes) {
     pool.signal("SIGCONT");
   }
-  const answer = await accepted;
-  t.equal(answer?.outcome, "complete", answer?.message ?? "");
+  const { outcome, message } = (await accepted).body as QueryAnswer;
+  t.equal(outcome, "complete", message);
 });
 
 t.test("queries are answered after all pools were stalled", async (t) => {
