Test of a stalled pool: it waits for the answers before it counts

The count began after a fixed time; under load a query may still have been under way then, and its call counted as late. As strict: the answers must be complete while the pool stands still, and not one run may follow.

--- a/e2e/one_stalled_pool_test.ts
+++ b/e2e/one_stalled_pool_test.ts
@@ -65,12 +65,12 @@
       const pending = boxes.map((box) => {
         return sendQuery(fleet, box, { mark: `stall-${stalled}-${box}`, deadlineMs: 5_000 });
       });
-      await delay(STALL_MS);
-      const runsBefore = await countRuns(fleet);
-      pool.signal("SIGCONT");
       for (const answer of await Promise.all(pending)) {
         t.equal(answer.outcome, "complete", answer.message);
       }
+      await delay(STALL_MS);
+      const runsBefore = await countRuns(fleet);
+      pool.signal("SIGCONT");
       await delay(500);
       lateRuns += (await countRuns(fleet)) - runsBefore;
     }
