--- a/review/lib/leaf.mjs
+++ b/review/lib/leaf.mjs
@@ -9,6 +9,9 @@
 const RECORD_BYTES = 16;
 const HEARTBEAT_MS = 1_200;
 
+/** Time for which a draining leaf serves beyond `drainMs`, in milliseconds. */
+const EXTRA_DRAIN_MS = 1_000;
+
 /** Time of one request: a number, or evenly between two. */
 function workOf(workMs) {
   return typeof workMs === "number"
@@ -142,14 +145,14 @@
     service,
     zone,
     stop,
-    /** Says `draining`, serves on for `drainMs` and half a second, then ends and leaves the store. */
+    /** Says `draining`, serves on for `drainMs` and a little longer, then ends and leaves the store. */
     drain: (drainMs) => {
       state = "draining";
       writeEntry();
       setTimeout(() => {
         stop();
         store.remove("servers", id);
-      }, drainMs + 500);
+      }, drainMs + EXTRA_DRAIN_MS);
     },
   };
 }
