One check of a network address for the store, the settings and peers

With port 0 or a host name no box ended, but the boxes that learn leafs from their peers stopped serving once the leafs were replaced.

Cause: the adapter of the store took any text and up to five digits as an address. net.connect throws on a port above 65,535 instead of reporting an error, and the exception left a request handler. The check of the state of a peer asks for an IPv4 address and a port from 1 to 65,535, and rejects the whole state for one leaf: two checks of one value that differ.

An address that no box can connect to makes an entry unreadable, which names no leaf and affects no other.

--- a/cluster_state/_shared_state_fields.ts
+++ b/cluster_state/_shared_state_fields.ts
@@ -6,8 +6,8 @@
  *
  * @module
  */
-import { isIPv4 } from "node:net";
 import type { Leaf } from "../leafs/mod.js";
+import { isIpAddress, isPort } from "../model/mod.js";
 import type { Configuration, Route, RouteTarget, ServiceTerms } from "../routing/mod.js";
 
 /** State that a box sends to a peer whose own is older. */
@@ -34,15 +34,9 @@
 /** A check for each field of a type. */
 type Checks<T> = { readonly [Field in keyof Required<T>]: Check };
 
-const MAX_PORT = 65_535;
-
 const isString: Check = (value) => typeof value === "string";
 const isNumber: Check = (value) => Number.isFinite(value);
 const isBoolean: Check = (value) => typeof value === "boolean";
-const isAddress: Check = (value) => typeof value === "string" && isIPv4(value);
-const isPort: Check = (value) => {
-  return Number.isInteger(value) && Number(value) > 0 && Number(value) <= MAX_PORT;
-};
 const isSlotCount: Check = (value) => Number.isInteger(value) && Number(value) > 0;
 
 function listOf(check: Check): Check {
@@ -72,7 +66,7 @@
   sequence: isNumber,
   service: isString,
   version: optional(isString),
-  address: isAddress,
+  address: isIpAddress,
   port: isPort,
   dataCentre: isString,
   slots: isSlotCount,
--- a/fleet/_fleet_message_fields.ts
+++ b/fleet/_fleet_message_fields.ts
@@ -7,10 +7,8 @@
  *
  * @module
  */
-import { isIPv4 } from "node:net";
-import type { MemberState } from "../model/mod.js";
+import { isIpAddress, isPort, type MemberState } from "../model/mod.js";
 import {
-  type Check,
   type Checks,
   isCount,
   isListOf,
@@ -87,16 +85,10 @@
   "leaving",
   "dead",
 ]);
-const MAX_PORT = 65_535;
 
 /** Maximum number of boxes of a fleet. */
 const MAX_BOXES = 100_000;
 
-const isAddress: Check = (value) => typeof value === "string" && isIPv4(value);
-const isPort: Check = (value) => {
-  return Number.isInteger(value) && Number(value) > 0 && Number(value) <= MAX_PORT;
-};
-
 const MEMBER_CHECKS: Checks<MemberFields> = [
   isString,
   isString,
@@ -104,7 +96,7 @@
   isNumber,
   (value) => STATES.has(value),
   isString,
-  isAddress,
+  isIpAddress,
   isPort,
   isPort,
   isNumber,
--- a/model/mod.ts
+++ b/model/mod.ts
@@ -8,6 +8,7 @@
 export type * from "./fleet_size.js";
 export * from "./limits.js";
 export * from "./member.js";
+export * from "./network_address.js";
 export * from "./query.js";
 export type * from "./rollout.js";
 export * from "./schema.js";
