An invalid leaf of a peer costs this leaf, not the peer's whole state

What callers saw: while one entry of the store had an address that peers reject, boxes that learn leafs from their peers got no update any more: 4 of 7 boxes of a region answered nothing once the leafs were replaced, and the log said only that a fetch had failed.

Cause: the check of shared state rejected all leafs for one.

Evidence: the new test on the former code ends with "Cannot decode shared state: invalid value".

Change: each leaf is checked by itself. An invalid one counts as removed, is logged with its count, and does not affect the others; other invalid values are rejected as before.

--- a/cluster_state/_shared_state_fields.ts
+++ b/cluster_state/_shared_state_fields.ts
@@ -22,6 +22,11 @@
   readonly leafsRevision: number;
 }
 
+/** State as a peer has sent it: each of its leafs is yet to be checked. */
+export interface ReceivedState extends Omit<SharedState, "leafs"> {
+  readonly leafs: ReadonlyArray<unknown>;
+}
+
 /** A leaf whose entry has expired but may reappear. */
 export interface ExpiredLeaf {
   readonly leafId: string;
@@ -127,20 +132,32 @@
   }),
 };
 
-const matchesSharedState = recordOf<SharedState>({
+const matchesLeaf = recordOf(LEAF_CHECKS);
+
+const matchesReceivedState = recordOf<ReceivedState>({
   configuration: optional(recordOf(CONFIGURATION_CHECKS)),
-  leafs: listOf(recordOf(LEAF_CHECKS)),
+  leafs: Array.isArray,
   removed: optional(listOf(isString)),
   lapsed: listOf(recordOf(EXPIRED_LEAF_CHECKS)),
   leafsRevision: isNumber,
 });
 
 /**
- * Reports whether data is valid shared state.
+ * Reports whether data is valid shared state, apart from its leafs.
+ *
+ * @param data - Parsed data.
+ * @returns Whether each value is valid; unknown fields are ignored.
+ */
+export function isReceivedState(data: unknown): data is ReceivedState {
+  return matchesReceivedState(data);
+}
+
+/**
+ * Reports whether data is a valid leaf.
  *
  * @param data - Parsed data.
  * @returns Whether each value is valid; unknown fields are ignored.
  */
-export function isSharedState(data: unknown): data is SharedState {
-  return matchesSharedState(data);
+export function isLeaf(data: unknown): data is Leaf {
+  return matchesLeaf(data);
 }
--- a/cluster_state/peer_catch_up.ts
+++ b/cluster_state/peer_catch_up.ts
@@ -103,7 +103,11 @@
         path: clusterStateUrl(clusterState.progress),
         signal: AbortSignal.timeout(PEER_REQUEST_TIMEOUT_MS),
       });
-      const shared = decodeSharedState(Buffer.from(await response.body.arrayBuffer()));
+      const shared = decodeSharedState(Buffer.from(await response.body.arrayBuffer()), {
+        onInvalidLeafs: (count) => {
+          telemetry.event("warn", "fleet: ignored invalid leafs of peer", { member: box, count });
+        },
+      });
       // The peer stated the limits at some time after the request was sent.
       clusterState.mergeSharedState(shortenTimeLimits(shared, nowMs() - requestedAtMs));
       telemetry.event("info", "fleet: fetched state from peer", { member: box });
--- a/cluster_state/shared_state.ts
+++ b/cluster_state/shared_state.ts
@@ -6,9 +6,14 @@
  */
 import { deflateRawSync, inflateRawSync } from "node:zlib";
 import type { SyncProgress } from "../fleet/mod.js";
-import { applyLeafChanges, applyLeafList, type LeafTable } from "../leafs/mod.js";
+import { applyLeafChanges, applyLeafList, type Leaf, type LeafTable } from "../leafs/mod.js";
 import type { Configuration } from "../routing/mod.js";
-import { isSharedState, type SharedState } from "./_shared_state_fields.js";
+import {
+  isLeaf,
+  isReceivedState,
+  type ReceivedState,
+  type SharedState,
+} from "./_shared_state_fields.js";
 import type { LeafChangeLog } from "./leaf_change_log.js";
 
 export type {
@@ -103,20 +108,63 @@
   return deflateRawSync(JSON.stringify(shared));
 }
 
+/** Options of {@link decodeSharedState}. */
+export interface DecodeSharedStateOptions {
+  /** Called with the number of invalid leafs if there are any. */
+  readonly onInvalidLeafs?: (count: number) => void;
+}
+
 /**
- * Decodes shared state.
+ * Decodes shared state. An invalid leaf counts as removed and does not affect the others, as a peer
+ * of another build may accept entries that this build does not.
  *
  * @param bytes - Bytes received from a peer.
+ * @param options - Callback that reports invalid leafs.
  * @returns The decoded state.
- * @throws If the bytes cannot be inflated or parsed, or contain an invalid value.
+ * @throws If the bytes cannot be inflated or parsed, or contain another invalid value.
  */
-export function decodeSharedState(bytes: Buffer): SharedState {
+export function decodeSharedState(
+  bytes: Buffer,
+  { onInvalidLeafs }: DecodeSharedStateOptions = {},
+): SharedState {
   const text = inflateRawSync(bytes, { maxOutputLength: MAX_SHARED_STATE_BYTES }).toString("utf8");
   const data: unknown = JSON.parse(text);
-  if (!isSharedState(data)) {
+  if (!isReceivedState(data)) {
     throw new Error("Cannot decode shared state: invalid value");
   }
-  return data;
+  const { leafs, invalidIds, invalidCount } = checkLeafs(data.leafs);
+  if (invalidCount > 0) {
+    onInvalidLeafs?.(invalidCount);
+  }
+  const { removed, ...received } = { ...data, leafs };
+  return removed === undefined ? received : { ...received, removed: [...removed, ...invalidIds] };
+}
+
+/** Leafs that a peer has sent, after their validation. */
+interface CheckedLeafs {
+  readonly leafs: ReadonlyArray<Leaf>;
+  /** Ids of the invalid ones, as far as they are readable. */
+  readonly invalidIds: ReadonlyArray<string>;
+  readonly invalidCount: number;
+}
+
+function checkLeafs(received: ReceivedState["leafs"]): CheckedLeafs {
+  const leafs: Array<Leaf> = [];
+  const invalid: Array<unknown> = [];
+  for (const leaf of received) {
+    if (isLeaf(leaf)) {
+      leafs.push(leaf);
+    } else {
+      invalid.push(leaf);
+    }
+  }
+  const invalidIds = invalid.map(leafIdOf).filter((leafId) => leafId !== undefined);
+  return { leafs, invalidIds, invalidCount: invalid.length };
+}
+
+function leafIdOf(leaf: unknown): string | undefined {
+  const leafId = (leaf as Partial<Leaf> | null)?.leafId;
+  return typeof leafId === "string" ? leafId : undefined;
 }
 
 /**
--- a/cluster_state/shared_state_test.ts
+++ b/cluster_state/shared_state_test.ts
@@ -37,6 +37,27 @@
   return selectSharedState(snapshot, { configurationVersion: 0, leafsRevision: 10 });
 }
 
+t.test("an invalid leaf of a peer counts as removed and costs no other leaf", async (t) => {
+  const { table } = initialState();
+  const invalid = [
+    { ...leaf("a"), port: 70_000 },
+    { ...leaf("c"), address: "leaf.example" },
+  ];
+  const leafs = [...invalid, null as unknown as Leaf, leaf("b", true), leaf("d")];
+  for (const [removed, expected] of [
+    [undefined, ["b", "d"]],
+    [["x"], ["b", "d"]],
+  ] as const) {
+    const counts: Array<number> = [];
+    const sent = { leafs, lapsed: [], leafsRevision: 12, ...(removed && { removed }) };
+    const shared = decodeSharedState(encodeSharedState(sent), {
+      onInvalidLeafs: (count) => counts.push(count),
+    });
+    t.same([...applySharedState(table, shared, 0).byId.keys()].sort(), expected);
+    t.same(counts, [3]);
+  }
+});
+
 t.test("a peer without state receives all leafs", async (t) => {
   const { changeLog, table } = initialState();
   const snapshot = {
