A connection to a leaf that cannot be begun is a call that was not sent

Cause: the library throws on an invalid address instead of reporting an error, and LeafConnection passed the exception on to whichever handler had caused the call. The check of addresses alone stood between an unexpected value and the end of the process.

Evidence: the new test on the former code ends with ERR_SOCKET_BAD_PORT.

Change: the connection closes as after any other failed attempt, so that the call counts as not sent, the leaf as failed, and another leaf is called.

--- a/calls/leaf_calls_test.ts
+++ b/calls/leaf_calls_test.ts
@@ -102,6 +102,11 @@
   setLeafs(calls, []);
 });
 
+t.test("a call to a leaf at an invalid address fails as not sent", async (t) => {
+  const outcome = await sendCall(makeLeafCalls(), 70_000);
+  t.match(outcome, { kind: "failed", sent: false });
+});
+
 t.test("a call to a leaf that refuses connections fails as not sent", async (t) => {
   const server = await bytesServer(() => "");
   const port = portOf(server);
--- a/calls/leaf_connection.ts
+++ b/calls/leaf_connection.ts
@@ -50,21 +50,12 @@
    */
   constructor({ address, port }: SocketAddress, listener: LeafConnectionListener) {
     this.#listener = listener;
-    CONNECTOR(
-      { hostname: address, host: address, protocol: "http:", port: String(port) },
-      (error, socket) => {
-        if (error !== null || socket === null || this.#closed) {
-          socket?.destroy();
-          this.#close();
-          return;
-        }
-        this.#socket = socket;
-        this.#idleSinceMs = nowMs();
-        this.#lastContactAtMs = this.#idleSinceMs;
-        this.#client = this.#clientOn(`http://${address}:${port}`, socket);
-        listener.onOpen(this);
-      },
-    );
+    try {
+      this.#connect(address, port);
+    } catch {
+      // Deferred: the listener does not know this connection before the constructor returns.
+      queueMicrotask(() => this.#close());
+    }
   }
 
   /** Whether the connection is established. */
@@ -131,6 +122,25 @@
     this.#close();
   }
 
+  /** @throws If the address or the port is invalid; all other errors close the connection. */
+  #connect(address: string, port: number): void {
+    CONNECTOR(
+      { hostname: address, host: address, protocol: "http:", port: String(port) },
+      (error, socket) => {
+        if (error !== null || socket === null || this.#closed) {
+          socket?.destroy();
+          this.#close();
+          return;
+        }
+        this.#socket = socket;
+        this.#idleSinceMs = nowMs();
+        this.#lastContactAtMs = this.#idleSinceMs;
+        this.#client = this.#clientOn(`http://${address}:${port}`, socket);
+        this.#listener.onOpen(this);
+      },
+    );
+  }
+
   /** Creates an undici client on an established socket. It never opens another one. */
   #clientOn(origin: string, socket: NonNullable<Socket>): Client {
     let used = false;
