--- a/entry/http_api.ts
+++ b/entry/http_api.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import type { ObjectKind } from "../model/mod.js";
+import { type ObjectKind, parseRequestUrl } from "../model/mod.js";
 import { httpFault, writeFault } from "./http_io.js";
 
 /** A request with its parsed path and query string. */
@@ -111,11 +111,11 @@
 export function apiServer(handlers: ApiHandlers): Server {
   const server = createServer((request, response) => {
     response.on("error", () => undefined);
-    const url = new URL(request.url ?? "/", "http://entry");
-    const route = findRoute(request.method ?? "", url.pathname);
-    if (route === undefined) {
+    const url = parseRequestUrl(request.url ?? "/");
+    const route = url && findRoute(request.method ?? "", url.pathname);
+    if (url === undefined || route === undefined) {
       request.resume();
-      const message = `Cannot find ${request.method} "${url.pathname}"`;
+      const message = `Cannot find ${request.method} "${url?.pathname ?? request.url}"`;
       writeFault(response, httpFault(404, message));
       return;
     }
--- a/model/mod.ts
+++ b/model/mod.ts
@@ -10,6 +10,7 @@
 export * from "./member.js";
 export * from "./network_address.js";
 export * from "./query.js";
+export * from "./request_url.js";
 export type * from "./rollout.js";
 export * from "./schema.js";
 export * from "./service.js";
