A relayed query reaches its leafs with its body

Cause: a relay request had no field for a body, the relaying box set none in its calls, and a comment, not a check, said that only requests without a body are relayed. The relaying box also computed the fingerprint without the body, so that a body that crashes leafs counted there as every other body on the path.

Change: LeafRequest is the one type of a request as leafs receive it; direct calls, relay requests and what the runner forwards are made from it, so that none compiles without the body. The bytes follow the deflated fields, unencoded and undeflated, so that no limit but the configuration's applies to them. Their size is one field more, present only with a body: builds that cannot relay one reject such a request with 400 instead of running it without. A rejected relay request counts as declined, not as run, and the box that rejected it is not chosen again for a query with a body while it runs: its leafs are called directly.

--- a/box/_relay_requests.ts
+++ b/box/_relay_requests.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import type { LeafCalls, OpenCall } from "../calls/mod.js";
+import type { LeafCalls, LeafRequest, OpenCall } from "../calls/mod.js";
 import type { Member } from "../model/mod.js";
 import type { Quarantine } from "../quarantine/mod.js";
 import type { RelayCalls, RelayListener, RelayRequest } from "../relay/mod.js";
@@ -150,11 +150,12 @@
 
   #commonFields(deadlineAtMs: number) {
     const { forwarded, nowMs, terms } = this.#options;
-    const { method, path, headers } = forwarded;
+    const { method, path, headers, body } = forwarded;
     const { target } = terms.route;
     const topRecords = target.kind === "gather" ? target.topRecords : 0;
     const leftMs = Math.max(1, Math.floor(deadlineAtMs - nowMs()));
-    return { requestId: terms.requestId, method, path, headers, topRecords, leftMs } as const;
+    const request: LeafRequest = { requestId: terms.requestId, method, path, headers, body };
+    return { ...request, topRecords, leftMs };
   }
 
   #send(
--- a/box/_run_context.ts
+++ b/box/_run_context.ts
@@ -24,6 +24,8 @@
 export interface RunContextOptions {
   /** Hash of the request's content, equal for identical queries. */
   readonly fingerprint: string;
+  /** The request's body; `undefined` if it has none. */
+  readonly body: Buffer | undefined;
   /** Host and path from which the route is determined. */
   readonly routeKey: RouteKey;
   /** Latency objective, in milliseconds. */
@@ -45,6 +47,7 @@
   readonly #box: RunnerOptions;
   readonly #placement: Placement;
   readonly #fingerprint: string;
+  readonly #hasBody: boolean;
   readonly #objectiveMs: number;
   readonly #chosenBoxes = new Map<string, Member>();
   readonly #health: LeafChoiceContext["health"];
@@ -65,8 +68,9 @@
    * @param options - The request.
    */
   constructor(box: RunnerOptions, options: RunContextOptions) {
-    const { fingerprint, objectiveMs, placement, routeKey } = options;
+    const { body, fingerprint, objectiveMs, placement, routeKey } = options;
     this.#box = box;
+    this.#hasBody = body !== undefined;
     this.#fingerprint = fingerprint;
     this.#placement = placement;
     this.#objectiveMs = objectiveMs;
@@ -133,7 +137,8 @@
 
   chooseBox(relayPlace: string, selection: BoxSelection = {}): BoxChoice | undefined {
     const { places, relays } = this.#box;
-    const chosen = relays.choose(places.boxesAt(relayPlace), selection);
+    const hasBody = this.#hasBody;
+    const chosen = relays.choose(places.boxesAt(relayPlace), { ...selection, hasBody });
     if (chosen === undefined) {
       return undefined;
     }
--- a/box/_runner_options.ts
+++ b/box/_runner_options.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { LeafCalls } from "../calls/mod.js";
+import type { LeafCalls, LeafRequest } from "../calls/mod.js";
 import type { RelayPlaces } from "../fleet/mod.js";
 import type { LeafAccess } from "../leaf_access/mod.js";
 import type { LeafTable } from "../leafs/mod.js";
@@ -13,14 +13,8 @@
 import type { RelayCalls } from "../relay/mod.js";
 import type { RouteKey } from "../routing/mod.js";
 
-/** A request as it is forwarded to leafs. */
-export interface ForwardedRequest {
-  readonly method: string;
-  /** Path with query string, exactly as received from the caller. */
-  readonly path: string;
-  /** Forwarded headers as alternating names and values. */
-  readonly headers: ReadonlyArray<string>;
-  readonly body: Buffer | undefined;
+/** A request as it is forwarded to leafs, without the id of the caller's attempt. */
+export interface ForwardedRequest extends Omit<LeafRequest, "requestId"> {
   /** Host and path from which the route is determined. */
   readonly routeKey: RouteKey;
   /** Hash of the request's content, equal for identical queries. */
--- a/box/version_selection_test.ts
+++ b/box/version_selection_test.ts
@@ -61,7 +61,8 @@
   } as unknown as RunnerOptions;
   const routeKey = { host: "h", path: "/a/" };
   return new RunContext(box, {
-    ...{ fingerprint: "q", routeKey, objectiveMs: 100, placement: "least-loaded" },
+    ...{ fingerprint: "q", body: undefined, routeKey, objectiveMs: 100 },
+    placement: "least-loaded",
   });
 }
 
--- a/calls/leaf_call.ts
+++ b/calls/leaf_call.ts
@@ -7,15 +7,24 @@
 import type { Leaf } from "../leafs/mod.js";
 import type { RouteKey } from "../routing/mod.js";
 
-/** A call to be made. */
-export interface LeafCall {
-  readonly leaf: Leaf;
+/**
+ * A caller's request as leafs receive it, whether this box calls them or another one does on its
+ * behalf.
+ */
+export interface LeafRequest {
   readonly requestId: string;
   readonly method: string;
+  /** Path with query string, exactly as received from the caller. */
   readonly path: string;
   /** The caller's headers that are passed on: alternating names and values. */
   readonly headers: ReadonlyArray<string>;
+  /** The caller's bytes; `undefined` if the request has no body, which differs from an empty one. */
   readonly body: Buffer | undefined;
+}
+
+/** A call to be made. */
+export interface LeafCall extends LeafRequest {
+  readonly leaf: Leaf;
   /** Host and path of the request; the same object for all its calls. */
   readonly routeKey: RouteKey;
   /** Identifies the query: equal for all requests with the same content. */
--- a/relay/_leaf_call_template.ts
+++ b/relay/_leaf_call_template.ts
@@ -11,15 +11,14 @@
 export type LeafCallTemplate = Omit<LeafCall, "leaf" | "deadlineAtMs" | "isFirst">;
 
 /**
- * Creates the properties that all leaf calls of a relay request share. Only requests without a body
- * are relayed.
+ * Creates the properties that all leaf calls of a relay request share. The fingerprint equals that
+ * of the requesting box, so that both recognize a query that crashes leafs.
  *
  * @param request - The relay request.
  * @returns The shared properties.
  */
 export function leafCallTemplate(request: RelayRequest): LeafCallTemplate {
-  const { requestId, method, path, headers } = request;
-  const body = undefined;
+  const { requestId, method, path, headers, body } = request;
   const host = hostOf(headers);
   const fingerprint = requestFingerprint({ method, caller: host, path, body });
   const routeKey = { host, path };
--- a/relay/_relay_response_reader.ts
+++ b/relay/_relay_response_reader.ts
@@ -26,17 +26,24 @@
    * first frame.
    */
   onQueue(queueMs: number): void;
+  /** Called if the box has rejected the request without calling leafs. */
+  onRejected(): void;
   /** Called once when the request has ended. */
   onEnded(): void;
 }
 
+/** Status of a response with frames. */
+const OK_STATUS = 200;
+
 /** Reads the frames of one response. The box is considered responsive from the first frame. */
 export class RelayResponseReader implements Dispatcher.DispatchHandler {
   readonly #listener: RelayListener;
   readonly #observer: RelayObserver;
+  readonly #services: ReadonlyArray<string>;
   readonly #frames: RelayFrameReader;
   #controller: Dispatcher.DispatchController | undefined;
   #hasResult = false;
+  #isRejected = false;
   #ended = false;
 
   /**
@@ -47,7 +54,8 @@
   constructor(request: RelayRequest, listener: RelayListener, observer: RelayObserver) {
     this.#listener = listener;
     this.#observer = observer;
-    this.#frames = new RelayFrameReader(servicesOf(request));
+    this.#services = servicesOf(request);
+    this.#frames = new RelayFrameReader(this.#services);
   }
 
   /** Whether the request has been answered, has failed or was abandoned. */
@@ -76,11 +84,14 @@
     }
   }
 
-  onResponseStart(): void {
-    // All information is in the frames.
+  onResponseStart(_controller: Dispatcher.DispatchController, statusCode: number): void {
+    this.#isRejected = statusCode !== OK_STATUS;
   }
 
   onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    if (this.#isRejected) {
+      return;
+    }
     for (const parts of this.#frames.read(chunk)) {
       if (!this.#hasResult) {
         this.#observer.onQueue(parts.queueMs ?? 0);
@@ -92,6 +103,11 @@
 
   onResponseEnd(): void {
     this.#setResult("answered");
+    if (this.#isRejected && !this.#ended) {
+      this.#observer.onRejected();
+      const failed = new Map(this.#services.map((service) => [service, "declined"] as const));
+      this.#listener.onParts({ signatures: new Map(), records: Buffer.alloc(0), failed });
+    }
     this.#end();
   }
 
--- a/relay/merged_relay_test.ts
+++ b/relay/merged_relay_test.ts
@@ -13,7 +13,7 @@
 
 const REQUEST: MergedRelayRequest = {
   ...{ kind: "merged", requestId: "r", method: "GET", path: "/x", headers: [] },
-  ...{ topRecords: 5, leftMs: 1_000, services: SERVICES, waitLimitMs: 50 },
+  ...{ body: undefined, topRecords: 5, leftMs: 1_000, services: SERVICES, waitLimitMs: 50 },
 };
 
 function leafOf(service: string): Leaf {
--- a/relay/relay_calls.ts
+++ b/relay/relay_calls.ts
@@ -90,8 +90,12 @@
 
 /** How a box is selected. */
 export interface BoxSelection {
-  /** Whether boxes whose first frame is late must not be selected. */
+  /** Whether boxes whose first frame is late must not be selected; `false` by default. */
   readonly excludesLate?: boolean;
+  /**
+   * Whether the request has a body, which boxes of earlier builds cannot relay; `false` by default.
+   */
+  readonly hasBody?: boolean;
 }
 
 /** Options of `RelayCalls`. */
@@ -112,6 +116,8 @@
   readonly #pools = new Map<string, Pool>();
   readonly #health = new Map<string, LeafHealth>();
   readonly #queueReports = new Map<string, QueueReport>();
+  /** Incarnations of boxes that have rejected a request with a body, by box. */
+  readonly #bodyRejections = new Map<string, string>();
   readonly #open = new Map<number, OpenRequest>();
   #nextCallId = 1;
 
@@ -134,12 +140,12 @@
    * selected only if there is no other.
    *
    * @param members - Candidate boxes of a region.
-   * @param options - Whether boxes whose first frame is late must not be selected.
+   * @param options - Which boxes must not be selected.
    * @returns The box, or `undefined` if none is available.
    */
   choose(
     members: ReadonlyArray<Member>,
-    { excludesLate = false }: BoxSelection = {},
+    { excludesLate = false, hasBody = false }: BoxSelection = {},
   ): ChosenBox | undefined {
     const now = this.#nowMs();
     const late = this.#lateMemberIds(now);
@@ -151,6 +157,7 @@
       const isAvoided =
         health.avoidUntilMs > now ||
         (isLate && excludesLate) ||
+        (hasBody && this.#rejectsBodies(member)) ||
         isUnresponsive(health, this.#eventLoopIdleMs());
       // Ties are broken at random, so that boxes started together do not all select the same one.
       const load = health.openCalls.length + (isLate ? LATE_LOAD : 0) + Math.random();
@@ -216,6 +223,11 @@
       onQueue: (queueMs) => {
         this.#queueReports.set(member.memberId, { queueMs, atMs: this.#nowMs() });
       },
+      onRejected: () => {
+        if (request.body !== undefined) {
+          this.#bodyRejections.set(member.memberId, member.incarnation);
+        }
+      },
       onEnded: () => this.#open.delete(callId),
     });
     const origin = originOf(member);
@@ -293,6 +305,11 @@
     return encodeSentTime({ clockId: this.#clockId, sentAtMs: this.#nowMs() });
   }
 
+  /** Whether the box, which may have been restarted since, has rejected a request with a body. */
+  #rejectsBodies({ memberId, incarnation }: Member): boolean {
+    return this.#bodyRejections.get(memberId) === incarnation;
+  }
+
   #healthOf({ memberId }: Member): LeafHealth {
     return this.#health.get(memberId) ?? INITIAL_LEAF_HEALTH;
   }
--- a/relay/relay_calls_test.ts
+++ b/relay/relay_calls_test.ts
@@ -20,6 +20,7 @@
   method: "GET",
   path: "/x",
   headers: [],
+  body: undefined,
   topRecords: 5,
   leftMs: 2_000,
   services: ["s"],
@@ -123,3 +124,36 @@
   open.abandon();
   t.equal(isSelected(), true, "once no request waits for it");
 });
+
+t.test("a box that rejects a request with a body relays only requests without one", async (t) => {
+  const server = createServer((request, response) => {
+    request.resume();
+    request.on("end", () => response.writeHead(400).end());
+  });
+  await new Promise<void>((resolve) => server.listen(0, LOOPBACK, resolve));
+  t.teardown(() => server.close());
+  t.teardown(() => server.closeAllConnections());
+  const bound = server.address();
+  const port = typeof bound === "object" && bound !== null ? bound.port : 0;
+  const member = sampleMember({ peerPort: port });
+  const relays = new RelayCalls({ nowMs: () => 0, eventLoopIdleMs: () => 0 });
+  t.ok(relays.choose([member], { hasBody: true }), "it is selected until it rejects one");
+  const failed = await new Promise<RelayedParts["failed"]>((resolve) => {
+    let last: RelayedParts["failed"] = new Map();
+    relays.send(
+      member,
+      { ...REQUEST, body: Buffer.from("x") },
+      {
+        onParts: (parts) => {
+          last = parts.failed;
+        },
+        onEnd: () => resolve(last),
+      },
+    );
+  });
+  t.same([...failed], [["s", "declined"]], "no leaf was called");
+  t.equal(relays.choose([member], { hasBody: true }), undefined);
+  t.ok(relays.choose([member]), "requests without a body are relayed as before");
+  const restarted = { ...member, incarnation: "restarted" };
+  t.ok(relays.choose([restarted], { hasBody: true }), "it may run another build after a restart");
+});
--- a/relay/relay_fuzz_test.ts
+++ b/relay/relay_fuzz_test.ts
@@ -9,14 +9,23 @@
 const MERGED = ["merged", ...REQUEST, ["s1", "s2"], 40];
 const SEPARATE = ["separate", ...REQUEST, ["s1", "s2"], ["l1", "l2"], "AAAA"];
 
-const SPOILT = fc.oneof(corruptedValue(MERGED, 16), corruptedValue(SEPARATE, 16));
+/** The same with the size of a body. */
+const WITH_BODY = [
+  [...MERGED, 4],
+  [...SEPARATE, 4],
+];
+
+const SPOILT = fc.oneof(
+  ...[MERGED, SEPARATE, ...WITH_BODY].map((fields) => corruptedValue(fields, 17)),
+);
 
 function areStrings(values: ReadonlyArray<unknown>): boolean {
   return values.every((value) => typeof value === "string");
 }
 
 function isValid(request: RelayRequest): boolean {
-  const { headers, leftMs, method, path, requestId, topRecords } = request;
+  const { body, headers, leftMs, method, path, requestId, topRecords } = request;
+  const hasBody = body === undefined || Buffer.isBuffer(body);
   const hasPairs = headers.length % 2 === 0;
   const own = request.kind === "merged" ? [request.waitLimitMs] : [];
   const services =
@@ -25,7 +34,7 @@
       : request.calls.flatMap(({ service, leafId }) => [service, leafId]);
   const numbers = [leftMs, topRecords, ...own];
   const texts = [method, path, requestId, ...headers, ...services];
-  return hasPairs && areStrings(texts) && numbers.every((each) => Number.isFinite(each));
+  return hasBody && hasPairs && areStrings(texts) && numbers.every((each) => Number.isFinite(each));
 }
 
 t.test("decodeRelayRequest() returns a valid request or undefined", async (t) => {
@@ -45,6 +54,7 @@
     method: "GET",
     path: "/",
     headers: [],
+    body: undefined,
     topRecords: 1,
     leftMs: 9,
   };
--- a/relay/relay_request.ts
+++ b/relay/relay_request.ts
@@ -1,29 +1,28 @@
 /**
- * Wire format of relay requests: a deflated JSON array. Fields are identified by position to reduce
- * traffic between regions.
+ * Wire format of relay requests: a deflated JSON array, followed by the bytes of the caller's body.
+ * Fields are identified by position to reduce traffic between regions.
+ *
+ * Only a request with a body has the field with its size. Builds that cannot relay a body do not
+ * know the field and reject the request, instead of sending it to leafs without its body.
  *
  * @module
  */
 import { deflateRawSync, inflateRawSync } from "node:zlib";
 import * as z from "zod/mini";
+import type { LeafRequest } from "../calls/mod.js";
 
-/** Maximum size of an inflated relay request, in bytes. */
+/** Maximum size of the inflated fields of a relay request, in bytes. */
 const MAX_REQUEST_BYTES = 1_048_576;
 
-/** The caller's request, as sent to the leafs. */
-interface ForwardedRequest {
-  readonly requestId: string;
-  readonly method: string;
-  readonly path: string;
-  /** Headers to forward to leafs: names and values in alternation. */
-  readonly headers: ReadonlyArray<string>;
+/** The caller's request and the terms of its parts. */
+interface PartsRequest extends LeafRequest {
   readonly topRecords: number;
   /** Remaining time until the deadline, in milliseconds (an integer). */
   readonly leftMs: number;
 }
 
 /** Requests one part per service, merged; the relaying box selects the leafs. */
-export interface MergedRelayRequest extends ForwardedRequest {
+export interface MergedRelayRequest extends PartsRequest {
   readonly kind: "merged";
   readonly services: ReadonlyArray<string>;
   /** Maximum time before the first frame is sent, in milliseconds (an integer). */
@@ -31,7 +30,7 @@
 }
 
 /** Requests parts from the given leafs, each sent as soon as it arrives. */
-export interface SeparateRelayRequest extends ForwardedRequest {
+export interface SeparateRelayRequest extends PartsRequest {
   readonly kind: "separate";
   readonly calls: ReadonlyArray<SeparateCall>;
   /** Records below this one are omitted. */
@@ -60,12 +59,19 @@
   z.number(), // remaining time
   z.array(z.string()), // services
 ] as const;
-const MERGED_FIELDS = z.tuple([z.literal("merged"), ...REQUEST_FIELDS, z.number()]);
+const BODY_SIZE_FIELD = z.optional(z.int().check(z.minimum(0)));
+const MERGED_FIELDS = z.tuple([
+  z.literal("merged"),
+  ...REQUEST_FIELDS,
+  z.number(), // maximum time before the first frame
+  BODY_SIZE_FIELD,
+]);
 const SEPARATE_FIELDS = z.tuple([
   z.literal("separate"),
   ...REQUEST_FIELDS,
   z.array(z.string()), // leaf ids, one per service
   z.string(), // minimum record
+  BODY_SIZE_FIELD,
 ]);
 const RELAY_REQUEST_FIELDS = z.union([MERGED_FIELDS, SEPARATE_FIELDS]);
 
@@ -89,10 +95,13 @@
  * @returns The encoded request.
  */
 export function encodeRelayRequest(request: RelayRequest): Buffer {
-  const { kind, requestId, method, path, headers, topRecords, leftMs } = request;
+  const { kind, requestId, method, path, headers, body, topRecords, leftMs } = request;
   const encode = ENCODERS[kind] as (request: RelayRequest) => ReadonlyArray<unknown>;
   const fields = [kind, requestId, method, path, headers, topRecords, leftMs, ...encode(request)];
-  return deflateRawSync(JSON.stringify(fields));
+  if (body === undefined) {
+    return deflateRawSync(JSON.stringify(fields));
+  }
+  return Buffer.concat([deflateRawSync(JSON.stringify([...fields, body.length])), body]);
 }
 
 /**
@@ -105,51 +114,61 @@
   return request.kind === "merged" ? request.services : request.calls.map(({ service }) => service);
 }
 
-function mergedRequest(fields: z.infer<typeof MERGED_FIELDS>): MergedRelayRequest {
-  const [kind, requestId, method, path, headers, topRecords, leftMs, services, waitLimitMs] =
-    fields;
-  const request = { requestId, method, path, headers, topRecords, leftMs };
+function mergedRequest(
+  fields: z.infer<typeof MERGED_FIELDS>,
+  encoded: Buffer,
+): MergedRelayRequest | undefined {
+  const [kind, requestId, method, path, headers, topRecords, leftMs, services, ...rest] = fields;
+  const [waitLimitMs, bodySizeBytes] = rest;
+  if (!hasBytes(encoded, bodySizeBytes)) {
+    return undefined;
+  }
+  const body = bodyOf(encoded, bodySizeBytes);
+  const request = { requestId, method, path, headers, body, topRecords, leftMs };
   return { kind, ...request, services, waitLimitMs };
 }
 
 function separateRequest(
   fields: z.infer<typeof SEPARATE_FIELDS>,
+  encoded: Buffer,
 ): SeparateRelayRequest | undefined {
   const [kind, requestId, method, path, headers, topRecords, leftMs, services, ...rest] = fields;
-  const [leafIds, encodedMinRecord] = rest;
-  if (leafIds.length !== services.length) {
+  const [leafIds, encodedMinRecord, bodySizeBytes] = rest;
+  if (leafIds.length !== services.length || !hasBytes(encoded, bodySizeBytes)) {
     return undefined;
   }
   const minRecord = encodedMinRecord === "" ? undefined : Buffer.from(encodedMinRecord, "base64");
   const calls = services.map((service, index) => ({ service, leafId: leafIds[index] ?? "" }));
-  return {
-    kind,
-    requestId,
-    method,
-    path,
-    headers,
-    topRecords,
-    leftMs,
-    calls,
-    minRecord,
-  };
+  const body = bodyOf(encoded, bodySizeBytes);
+  const request = { requestId, method, path, headers, body, topRecords, leftMs };
+  return { kind, ...request, calls, minRecord };
+}
+
+/** Whether a request that states the size of its body is long enough to contain it. */
+function hasBytes(encoded: Buffer, bodySizeBytes = 0): boolean {
+  return bodySizeBytes <= encoded.length;
+}
+
+/** Returns the body, which ends the request; inflating stops at the end of the fields. */
+function bodyOf(encoded: Buffer, bodySizeBytes: number | undefined): Buffer | undefined {
+  return bodySizeBytes === undefined ? undefined : encoded.subarray(encoded.length - bodySizeBytes);
 }
 
 /**
  * Decodes a relay request.
  *
- * @param body - The encoded request.
+ * @param encoded - The encoded request.
  * @returns The request, or `undefined` if it is invalid.
  */
-export function decodeRelayRequest(body: Buffer): RelayRequest | undefined {
+export function decodeRelayRequest(encoded: Buffer): RelayRequest | undefined {
   try {
-    const plain = inflateRawSync(body, { maxOutputLength: MAX_REQUEST_BYTES });
+    const plain = inflateRawSync(encoded, { maxOutputLength: MAX_REQUEST_BYTES });
     const fields = RELAY_REQUEST_FIELDS.safeParse(JSON.parse(plain.toString("utf8")));
     if (!fields.success) {
       return undefined;
     }
     const { data } = fields;
-    return data[0] === "merged" ? mergedRequest(data) : separateRequest(data);
+    return data[0] === "merged" ? mergedRequest(data, encoded) : separateRequest(data, encoded);
   } catch {
     return undefined;
   }
--- a/relay/relay_request_test.ts
+++ b/relay/relay_request_test.ts
@@ -1,4 +1,4 @@
-import { deflateRawSync } from "node:zlib";
+import { deflateRawSync, inflateRawSync } from "node:zlib";
 import fc from "fast-check";
 import t from "tap";
 import { decodeRelayRequest, encodeRelayRequest, type RelayRequest } from "./relay_request.js";
@@ -8,6 +8,7 @@
   method: "GET",
   path: "/a?b=c",
   headers: ["Host", "h"],
+  body: undefined,
   topRecords: 5,
   leftMs: 100,
 } as const;
@@ -29,6 +30,42 @@
   }
 });
 
+const BODIES: ReadonlyArray<Buffer> = [
+  Buffer.alloc(0),
+  Buffer.from([0xff, 0x00, 0xc3, 0x28]),
+  deflateRawSync(Buffer.from("looks like fields")),
+  Buffer.alloc(4 * 1_048_576, "x"),
+];
+
+t.test("a relay request carries the bytes of the caller's body", async (t) => {
+  for (const request of REQUESTS) {
+    for (const body of BODIES) {
+      const decoded = decodeRelayRequest(encodeRelayRequest({ ...request, body }));
+      t.ok(decoded?.body?.equals(body), `${request.kind} with ${body.length} bytes`);
+      t.same({ ...decoded, body: undefined }, request);
+    }
+  }
+});
+
+t.test("decodeRelayRequest() rejects a request that is shorter than its body", async (t) => {
+  const fields = ["merged", "r", "POST", "/", [], 1, 1, [], 1, 1_000_000];
+  t.equal(decodeRelayRequest(deflateRawSync(JSON.stringify(fields))), undefined);
+});
+
+t.test("builds that cannot relay a body see a field too many", async (t) => {
+  // The number of fields that these builds accept; they ignore bytes after the deflated fields.
+  const FIELD_COUNTS = { merged: 9, separate: 10 } as const;
+  for (const request of REQUESTS) {
+    for (const body of [undefined, ...BODIES]) {
+      const fields = JSON.parse(
+        inflateRawSync(encodeRelayRequest({ ...request, body })).toString(),
+      );
+      const extra = body === undefined ? 0 : 1;
+      t.equal(fields.length, FIELD_COUNTS[request.kind] + extra, `${request.kind}`);
+    }
+  }
+});
+
 t.test("decodeRelayRequest() rejects invalid requests", async (t) => {
   for (const text of ["", "{}", "[]", "null", '["other","r","GET","/",[],1,1,[]]', '["merged"]']) {
     t.equal(decodeRelayRequest(Buffer.from(text)), undefined, text);
--- a/relay/relay_version_test.ts
+++ b/relay/relay_version_test.ts
@@ -9,7 +9,10 @@
 import { MergedRelay } from "./_merged_relay.js";
 import { SeparateRelay } from "./_separate_relay.js";
 
-const FORWARDED = { requestId: "r", method: "GET", path: "/x", headers: [], topRecords: 5 };
+const FORWARDED = {
+  ...{ requestId: "r", method: "GET", path: "/x", headers: [], body: undefined },
+  topRecords: 5,
+};
 
 t.test("only a relayed first call counts as first and prefers a version", async (t) => {
   const leafs = ["v1", "v2"].map((version) => ({ ...SAMPLE_LEAF, leafId: version, version }));
