--- a/fault_soak/invariant_checker.ts
+++ b/fault_soak/invariant_checker.ts
@@ -16,15 +16,16 @@
   serviceRecords,
 } from "../platform/standin/mod.js";
 import { changeDueAtMs, type Disturbance, isDisturbed, isHeldUp } from "./disturbance.js";
+import type { ObservedRequest } from "./observed_request.js";
 import {
   CRASHING_PATH_PART,
   LEDGER,
   RECORDS,
   REGIONAL_ROUTE,
   SHARDS,
-  type SoakBox,
   type SoakFleet,
 } from "./soak_fleet.js";
+import { VersionChecker } from "./version_checker.js";
 
 /** Runs of a crash-inducing query that are allowed after all boxes must have blocked it. */
 const MAX_LATE_RUNS = 3;
@@ -35,47 +36,15 @@
 /** Size of a record, in bytes. */
 const RECORD_BYTES = 16;
 
-/** A caller's request with its response. */
-export interface ObservedRequest {
-  readonly requestId: string;
-  readonly path: string;
-  readonly box: SoakBox;
-  /** Number of processes of the box that had ended when it was sent. */
-  readonly endedCount: number;
-  /** When it was sent, on this process's clock, in milliseconds. */
-  readonly sentAtMs: number;
-  readonly deadlineMs: number;
-  /** Whether the box was in a planned stop, without another fault of its process, when it ended. */
-  readonly duringStop: boolean;
-  /** `undefined` if the connection closed without a response. */
-  readonly response: CallerResponse | undefined;
-}
-
-/** A request to the route that a version of the configuration added. */
-interface VersionRequest {
-  readonly observed: ObservedRequest;
-  readonly version: number;
-  /** Whether the box had the route. */
-  readonly hasRoute: boolean;
-}
-
-/** A version that a box had, and when that was first seen, in milliseconds. */
-interface SeenVersion {
-  readonly version: number;
-  readonly seenAtMs: number;
-}
-
-const NO_VERSION: SeenVersion = { version: 0, seenAtMs: 0 };
+const NO_BODY = Buffer.alloc(0);
 
 /** Checks the invariants of one run. */
 export class InvariantChecker {
   readonly #soak: SoakFleet;
+  readonly #versions: VersionChecker;
   readonly #requests: Array<ObservedRequest> = [];
   readonly #notRun: Array<string> = [];
   readonly #interruptedByStop: Array<ObservedRequest> = [];
-  /** Highest version that each process of a box had, and when its response arrived. */
-  readonly #highestVersion = new Map<string, SeenVersion>();
-  readonly #versionRequests: Array<VersionRequest> = [];
   /** Violated invariants, each with details. */
   readonly broken: Array<string> = [];
   /** Number of checks, by invariant. */
@@ -86,6 +55,10 @@
    */
   constructor(soak: SoakFleet) {
     this.#soak = soak;
+    this.#versions = new VersionChecker({
+      check: (invariant, holds, detail) => this.#check(invariant, holds, detail),
+      changedAtMs: (version) => soak.changedAtMs(version),
+    });
   }
 
   /**
@@ -110,7 +83,7 @@
       const check = isGathered ? this.#checkGathered : this.#checkSingle;
       check.call(this, requestId, response);
     }
-    this.#checkVersion(request, response.statusCode);
+    this.#versions.checkRequest(request, response.statusCode);
   }
 
   /**
@@ -121,7 +94,8 @@
   checkAtEnd(disturbances: ReadonlyArray<Disturbance>): void {
     this.#checkRuns();
     this.#checkDraining(disturbances);
-    this.#checkConfigurationDeadlines(disturbances);
+    this.#checkBodies();
+    this.#versions.checkDeadlines(disturbances);
     this.#checkCrashingQueries(disturbances);
     this.#checkAllowedRegions();
     this.#checkEvacuations(disturbances);
@@ -168,28 +142,6 @@
     return signature.requestId === requestId ? found?.service : undefined;
   }
 
-  #checkVersion(request: ObservedRequest, statusCode: number): void {
-    const { box, endedCount, path, requestId } = request;
-    const version = Number(/^\/version-(\d+)\/$/.exec(path)?.[1] ?? Number.NaN);
-    if (Number.isNaN(version)) {
-      return;
-    }
-    if (statusCode !== 503) {
-      this.#versionRequests.push({ observed: request, version, hasRoute: statusCode !== 404 });
-    }
-    const key = `${box.box.name}/${endedCount}`;
-    const highest = this.#highestVersion.get(key) ?? NO_VERSION;
-    if (statusCode === 404) {
-      this.#check("a configuration never reverts", version > highest.version, () => {
-        const sentAfterMs = Math.round(request.sentAtMs - highest.seenAtMs);
-        const lost = `${key} had version ${highest.version} and has no version ${version}`;
-        return `${lost} (${requestId}, sent ${sentAfterMs} ms after that was seen)`;
-      });
-    } else if (statusCode !== 503 && version > highest.version) {
-      this.#highestVersion.set(key, { version, seenAtMs: performance.now() });
-    }
-  }
-
   #checkRuns(): void {
     const runs = new Map<string, number>();
     for (const { leaf, service } of this.#soak.allLeafs) {
@@ -219,6 +171,18 @@
     }
   }
 
+  #checkBodies(): void {
+    const bodies = new Map(this.#requests.map(({ requestId, body }) => [requestId, body]));
+    for (const { leaf } of this.#soak.allLeafs) {
+      for (const { requestId, body } of leaf.runs) {
+        const sent = bodies.get(requestId) ?? NO_BODY;
+        this.#check("a leaf receives the body of a request unchanged", sent.equals(body), () => {
+          return `${requestId} at ${leaf.leafId}: ${body.length} bytes of ${sent.length}`;
+        });
+      }
+    }
+  }
+
   #checkDraining(disturbances: ReadonlyArray<Disturbance>): void {
     for (const { leaf, drainingSinceMs } of this.#soak.allLeafs) {
       if (drainingSinceMs < Number.POSITIVE_INFINITY) {
@@ -302,17 +266,6 @@
       });
     }
   }
-
-  #checkConfigurationDeadlines(disturbances: ReadonlyArray<Disturbance>): void {
-    for (const { observed: request, version, hasRoute } of this.#versionRequests) {
-      const dueMs = changeDueAtMs(this.#soak.changedAtMs(version), disturbances);
-      const holds = hasRoute || request.sentAtMs <= dueMs;
-      this.#check("a configuration takes effect within its deadline", holds, () => {
-        const lateMs = Math.round(request.sentAtMs - dueMs);
-        return `${request.box.box.name} has no version ${version} ${lateMs} ms after it is due`;
-      });
-    }
-  }
 }
 
 /** Services that a request to a path goes to. */
--- a/fault_soak/soak_callers.ts
+++ b/fault_soak/soak_callers.ts
@@ -7,6 +7,7 @@
 import prand from "pure-rand";
 import { delay } from "../standins/waiting.js";
 import type { InvariantChecker } from "./invariant_checker.js";
+import { requestBody } from "./request_body.js";
 import { HOST, LEDGER, REGIONAL_ROUTE, type SoakBox, type SoakFleet } from "./soak_fleet.js";
 
 /** Time between two requests of a caller, in milliseconds. */
@@ -18,6 +19,9 @@
 /** Number of concurrent callers. */
 const CALLERS = 8;
 
+/** Prefix of the routes that versions of the configuration add; their requests have no body. */
+const VERSION_PREFIX = "/version-";
+
 /** Deadline of each request, in milliseconds. */
 const DEADLINE_MS = 1_500;
 
@@ -67,14 +71,17 @@
     const requestId = `request-${this.#nextId++}`;
     const { incarnation, endedCount } = box;
     const sentAtMs = performance.now();
-    const method = path === `/${LEDGER}/` ? "POST" : "GET";
-    const request = { path, requestId, method, host: HOST, deadlineMs: DEADLINE_MS } as const;
+    const body = path.startsWith(VERSION_PREFIX) ? undefined : requestBody(requestId);
+    const method = path === `/${LEDGER}/` || body !== undefined ? "POST" : "GET";
+    const terms = { path, requestId, method, host: HOST, deadlineMs: DEADLINE_MS } as const;
+    const request = { ...terms, ...(body && { body }) };
     const response = await this.#soak.fleet.sendRequest(box.box, request).catch(() => undefined);
     // The invariant of planned stops does not apply to a process that was also killed or paused.
     const duringStop = box.isStopping && box.incarnation === incarnation;
     this.#invariants.checkRequest({
       requestId,
       path,
+      body,
       box,
       endedCount,
       sentAtMs,
@@ -115,7 +122,7 @@
   }
 
   #pickPath(): string {
-    const version = `/version-${this.#soak.version}/`;
+    const version = `${VERSION_PREFIX}${this.#soak.version}/`;
     const paths = ["/sweep/", "/sweep/", REGIONAL_ROUTE.prefix, `/${LEDGER}/`, version];
     return paths[this.#int(paths.length)] ?? "/sweep/";
   }
