A pool that wakes runs no calls of entries that have disconnected

Cause: an entry that gets nothing from a stalled pool closes the connection after 3 s, and then cannot cancel its calls on it any more. The pool that wakes reads the calls, and some turns of its event loop later the end of the connection; it handled the calls in the turn in which it had read them.

Change: within 20 ms after a stall, calls are handled 20 ms after they were read, when the ends of connections are known. StallMeter tells the time since the last stall. Waiting a fixed number of turns was tried: two are too few, four suffice, and the number is the library's own.

--- a/clock/stall_meter.ts
+++ b/clock/stall_meter.ts
@@ -21,6 +21,7 @@
   readonly #intervalMs: number;
   #lastTickAtMs: number;
   #totalMs = 0;
+  #lastStallEndedAtMs = Number.NEGATIVE_INFINITY;
 
   /**
    * @param options - Clock, and interval of the ticks.
@@ -33,8 +34,12 @@
 
   /** Records a tick of the timer. */
   tick(): void {
-    this.#totalMs += this.#currentStallMs();
+    const stallMs = this.#currentStallMs();
+    this.#totalMs += stallMs;
     this.#lastTickAtMs = this.#nowMs();
+    if (stallMs > 0) {
+      this.#lastStallEndedAtMs = this.#lastTickAtMs;
+    }
   }
 
   /**
@@ -46,6 +51,16 @@
     return this.#totalMs + this.#currentStallMs();
   }
 
+  /**
+   * Returns the time since the end of the last stall.
+   *
+   * @returns Time in milliseconds: 0 while the first tick after a stall is overdue, infinite if there
+   *   was no stall.
+   */
+  sinceStallMs(): number {
+    return this.#currentStallMs() > 0 ? 0 : this.#nowMs() - this.#lastStallEndedAtMs;
+  }
+
   #currentStallMs(): number {
     const sinceTickMs = this.#nowMs() - this.#lastTickAtMs;
     return sinceTickMs < STALL_INTERVALS * this.#intervalMs ? 0 : sinceTickMs - this.#intervalMs;
--- a/clock/stall_meter_test.ts
+++ b/clock/stall_meter_test.ts
@@ -15,3 +15,15 @@
   stalls.tick();
   t.equal(stalls.totalMs(), 3_000, "and after it");
 });
+
+t.test("the end of a stall is known before and after the tick that ends it", async (t) => {
+  let nowMs = 100;
+  const stalls = new StallMeter({ nowMs: () => nowMs, intervalMs: 40 });
+  t.equal(stalls.sinceStallMs(), Number.POSITIVE_INFINITY, "there was none");
+  nowMs += 3_000;
+  t.equal(stalls.sinceStallMs(), 0, "the tick is overdue");
+  stalls.tick();
+  nowMs += 40;
+  stalls.tick();
+  t.equal(stalls.sinceStallMs(), 40);
+});
--- a/pool/pool_shell.ts
+++ b/pool/pool_shell.ts
@@ -47,6 +47,12 @@
   flushedAtMs: number;
 }
 
+/**
+ * Time after a stall for which the handling of calls is delayed, in milliseconds. The end of a
+ * connection is noticed some turns of the event loop after its last message.
+ */
+const WAKE_DELAY_MS = 20;
+
 /** Time after a flush within which further results for an entry are batched, in milliseconds. */
 const BATCH_WINDOW_MS = 2;
 
@@ -70,6 +76,7 @@
 ): Promise<PoolDaemon> {
   const telemetry = startTelemetry(telemetryOptions("rackvale-pool", settings));
   const streams = new Map<string, EntryStream>();
+  const stalls = new StallMeter({ nowMs, intervalMs: KEEPALIVE_INTERVAL_MS });
   let nextStream = 0;
   let core: CoreRunner<PoolState, PoolEvent> | undefined;
   function send(event: PoolEvent): void {
@@ -128,7 +135,7 @@
           send({ kind: "entryOpened", nowMs: nowMs(), entryId });
         }
         if (stream.arrivedCalls.length + stream.arrivedCancellations.length === 0) {
-          setImmediate(() => handleArrived(entryId, stream));
+          scheduleHandling(entryId, stream);
         }
         stream.arrivedCalls.push(...batch.calls.map(decodeCall));
         stream.arrivedCancellations.push(...batch.cancelledCallIds);
@@ -144,9 +151,19 @@
   }
 
   /**
-   * Handles what an entry has sent, once all of it has been read: after a stall of this pool, most
-   * calls have been cancelled, as their queries were answered through other pools.
+   * Schedules the handling of what an entry has sent, once all of it has been read: after a stall of
+   * this pool, most calls have been cancelled, as their queries were answered through other pools,
+   * and entries may have disconnected.
    */
+  function scheduleHandling(entryId: string, stream: EntryStream): void {
+    const handle = (): void => handleArrived(entryId, stream);
+    if (stalls.sinceStallMs() < WAKE_DELAY_MS) {
+      setTimeout(handle, WAKE_DELAY_MS);
+    } else {
+      setImmediate(handle);
+    }
+  }
+
   function handleArrived(entryId: string, stream: EntryStream): void {
     const cancelledCallIds = stream.arrivedCancellations;
     const cancelled = new Set(cancelledCallIds);
@@ -169,8 +186,6 @@
   const leafs = leafClient({ incarnation: self.incarnation });
   const timers = coreTimers<{ readonly kind: string }, PoolEvent>(send, nowMs);
 
-  const stalls = new StallMeter({ nowMs, intervalMs: KEEPALIVE_INTERVAL_MS });
-
   // Keeps the streams of entries with pending calls active.
   const keepaliveTimer = setInterval(() => {
     stalls.tick();
