A pool that wakes tells entries that it is responsive, also if no call is left

What callers saw: after a stall of each pool in turn, an entry took all of them for unresponsive but the last one to have sent a message, and placed all calls there. When that one stalled, no other was left to go round it: the query waited for over 2 s.

Cause: an entry clears its mark of an unresponsive pool with the next message from it. A pool that wakes and finds all its calls cancelled has no result to send, and its keepalive messages are for pending calls only.

The new test is red before: no message within 500 ms after the pool wakes.

Change: after cancellations the pool sends an empty message, unless it has sent one within the interval of keepalive messages.

--- a/pool/pool_shell.ts
+++ b/pool/pool_shell.ts
@@ -5,7 +5,6 @@
  */
 import { leafClient } from "../backend/mod.js";
 import { StallMeter } from "../clock/mod.js";
-import { ownersOf } from "../control/mod.js";
 import {
   type CoreRunner,
   controlShell,
@@ -27,6 +26,7 @@
 import { PendingCalls } from "./pending_calls.js";
 import { poolLogic } from "./pool_core.js";
 import type { PoolEffect, PoolEvent } from "./pool_messages.js";
+import { reportPool } from "./pool_report.js";
 import type { PoolState } from "./pool_state.js";
 
 /** Delay before the process ends, so that peers receive its final state, in milliseconds. */
@@ -176,6 +176,14 @@
     stream.pendingCalls.add(calls);
     stream.pendingCalls.remove(cancelledCallIds);
     send({ kind: "callsArrived", nowMs: nowMs(), entryId, calls, cancelledCallIds });
+    if (cancelledCallIds.length > 0 && isKeepaliveDue(stream)) {
+      // No result follows, and the entry avoids this pool until it receives a message.
+      flush(stream);
+    }
+  }
+
+  function isKeepaliveDue({ flushedAtMs }: EntryStream): boolean {
+    return nowMs() - flushedAtMs >= KEEPALIVE_INTERVAL_MS;
   }
 
   const server = await listenForPeers(
@@ -190,8 +198,7 @@
   const keepaliveTimer = setInterval(() => {
     stalls.tick();
     for (const stream of streams.values()) {
-      const isDue = nowMs() - stream.flushedAtMs >= KEEPALIVE_INTERVAL_MS;
-      if (isDue && !stream.pendingCalls.isEmpty) {
+      if (isKeepaliveDue(stream) && !stream.pendingCalls.isEmpty) {
         flush(stream);
       }
     }
@@ -276,19 +283,3 @@
     stop: () => send({ kind: "stopRequested", nowMs: nowMs() }),
   };
 }
-
-function reportPool(state: PoolState): object {
-  const { membership, catalog } = state.control;
-  const owned = [...catalog.services.values()].flatMap((service) =>
-    [...service.leafs.values()].filter((leaf) => {
-      return ownersOf(membership, leaf)[0]?.memberId === membership.self.memberId;
-    }),
-  );
-  return {
-    ownedLeafs: owned.map((leaf) => `${leaf.service} ${leaf.leafId}`),
-    unavailableLeafs: [...state.leafs.values()]
-      .filter((leaf) => leaf.condition !== "ready")
-      .map((leaf) => ({ leaf: leaf.leafKey, condition: leaf.condition })),
-    flights: state.flights.size,
-  };
-}
