An unresponsive pool is bypassed at once, however late a hedge would be

What callers saw: queries of a service whose calls take long were answered only seconds after their pool had stalled, or by its lost connection.

Cause: an entry first checked a fetch when a hedge was due, at the 95th percentile of the service's latency. That a pool is silent for 100 ms was noticed only then.

Change: the first check comes after 100 ms at the latest. A pool that responds is hedged when the hedge is due, as before.

--- a/entry/hedging.ts
+++ b/entry/hedging.ts
@@ -36,8 +36,8 @@
 }
 
 /**
- * Returns the delay before a fetch is checked for the first time. A shard with a single leaf is
- * never hedged, but its call may be stuck in an unresponsive pool.
+ * Returns the delay before a fetch is checked for the first time: for a hedge, or because its call
+ * may be stuck in an unresponsive pool. A shard with a single leaf is never hedged.
  *
  * @param state - The entry's state.
  * @param fetch - The fetch.
@@ -47,7 +47,8 @@
   state: EntryState,
   { leafIds, service }: Pick<Fetch, "leafIds" | "service">,
 ): number {
-  return leafIds.length > 1 ? hedgeDelayMs(state, service) : UNRESPONSIVE_AFTER_MS;
+  const hedgeMs = leafIds.length > 1 ? hedgeDelayMs(state, service) : Number.POSITIVE_INFINITY;
+  return Math.min(hedgeMs, UNRESPONSIVE_AFTER_MS);
 }
 
 /**
@@ -72,18 +73,31 @@
     first.sentAtMs,
   );
   const isUnresponsive = nowMs - lastContactAtMs >= UNRESPONSIVE_AFTER_MS;
+  const untilHedgeMs = hedgeDelayMs(state, fetch.service) - elapsedMs(fetch, nowMs);
   const sent = isUnresponsive
     ? bypassUnresponsivePool(state, fetch, { poolId: first.poolId, nowMs })
-    : sendHedge(state, fetch, nowMs);
+    : untilHedgeMs > 0
+      ? step<EntryState, EntryEffect>(state)
+      : sendHedge(state, fetch, nowMs);
   return andThen(sent, (next) =>
     step<EntryState, EntryEffect>(next, {
       kind: "setTimer",
       timer: { kind: "hedge", id: fetchId },
-      delayMs: UNRESPONSIVE_AFTER_MS,
+      delayMs: nextCheckDelayMs(untilHedgeMs),
     }),
   );
 }
 
+/** Returns the time since the first attempt of a fetch, in milliseconds. */
+function elapsedMs({ attempts }: Fetch, nowMs: number): number {
+  return nowMs - (attempts[0]?.sentAtMs ?? nowMs);
+}
+
+/** Returns the delay before the next check, in milliseconds: until a hedge is due, if that is near. */
+function nextCheckDelayMs(untilHedgeMs: number): number {
+  return untilHedgeMs > 0 ? Math.min(untilHedgeMs, UNRESPONSIVE_AFTER_MS) : UNRESPONSIVE_AFTER_MS;
+}
+
 function sendHedge(state: EntryState, fetch: Fetch, nowMs: number): EntryStep {
   const isOnlyAttempt = fetch.attempts.filter((attempt) => attempt.pending).length === 1;
   const target = isOnlyAttempt ? chooseTarget(state, fetch, nowMs) : undefined;
