--- a/fault_soak/fault_handlers.ts
+++ b/fault_soak/fault_handlers.ts
@@ -6,13 +6,8 @@
 import { MALFORMED_ENTRIES } from "../platform/standin/mod.js";
 import { delay } from "../standins/waiting.js";
 import type { FaultKind, PlannedFault } from "./fault_plan.js";
-import {
-  CRASHING_PATH_PART,
-  HOST,
-  type SoakBox,
-  type SoakFleet,
-  type SoakLeaf,
-} from "./soak_fleet.js";
+import { HOST } from "./soak_configuration.js";
+import { CRASHING_PATH_PART, type SoakBox, type SoakFleet, type SoakLeaf } from "./soak_fleet.js";
 
 /**
  * Injects a fault and removes it after its duration.
--- a/fault_soak/invariant_checker.ts
+++ b/fault_soak/invariant_checker.ts
@@ -17,14 +17,8 @@
 } from "../platform/standin/mod.js";
 import { changeDueAtMs, type Disturbance, isDisturbed, isHeldUp } from "./disturbance.js";
 import type { ObservedRequest } from "./observed_request.js";
-import {
-  CRASHING_PATH_PART,
-  LEDGER,
-  RECORDS,
-  REGIONAL_ROUTE,
-  SHARDS,
-  type SoakFleet,
-} from "./soak_fleet.js";
+import { LEDGER, RECORDS, REGIONAL_ROUTE, SHARDS } from "./soak_configuration.js";
+import { CRASHING_PATH_PART, type SoakFleet } from "./soak_fleet.js";
 import { VersionChecker } from "./version_checker.js";
 
 /** Runs of a crash-inducing query that are allowed after all boxes must have blocked it. */
--- a/fault_soak/soak_callers.ts
+++ b/fault_soak/soak_callers.ts
@@ -8,7 +8,8 @@
 import { delay } from "../standins/waiting.js";
 import type { InvariantChecker } from "./invariant_checker.js";
 import { requestBody } from "./request_body.js";
-import { HOST, LEDGER, REGIONAL_ROUTE, type SoakBox, type SoakFleet } from "./soak_fleet.js";
+import { HOST, LEDGER, REGIONAL_ROUTE, VERSION_PREFIX } from "./soak_configuration.js";
+import type { SoakBox, SoakFleet } from "./soak_fleet.js";
 
 /** Time between two requests of a caller, in milliseconds. */
 const REQUEST_INTERVAL_MS = 15;
@@ -19,9 +20,6 @@
 /** Number of concurrent callers. */
 const CALLERS = 8;
 
-/** Prefix of the routes that versions of the configuration add; their requests have no body. */
-const VERSION_PREFIX = "/version-";
-
 /** Deadline of each request, in milliseconds. */
 const DEADLINE_MS = 1_500;
 
@@ -71,6 +69,7 @@
     const requestId = `request-${this.#nextId++}`;
     const { incarnation, endedCount } = box;
     const sentAtMs = performance.now();
+    // Leafs of the ledger take a POST for a request that is not repeatable; these routes are.
     const body = path.startsWith(VERSION_PREFIX) ? undefined : requestBody(requestId);
     const method = path === `/${LEDGER}/` || body !== undefined ? "POST" : "GET";
     const terms = { path, requestId, method, host: HOST, deadlineMs: DEADLINE_MS } as const;
--- /dev/null
+++ b/fault_soak/soak_configuration.ts
@@ -0,0 +1,55 @@
+/**
+ * The configuration of a fault soak: its routes and services.
+ *
+ * @module
+ */
+import { type OperatorConfiguration, toOperatorConfiguration } from "../platform/standin/mod.js";
+
+/** Shards of the gathered routes. */
+export const SHARDS: ReadonlyArray<string> = ["shard-1", "shard-2", "shard-3", "shard-4"];
+
+/** Service of the route whose requests are not repeatable. */
+export const LEDGER = "ledger";
+
+/** Host of all routes. */
+export const HOST = "h.example";
+
+/** Route with a single allowed region, and the data centre in that region. */
+export const REGIONAL_ROUTE = { prefix: "/home/", region: "south", dataCentre: "hall-b" } as const;
+
+/** Prefix of the routes that versions of the configuration add. */
+export const VERSION_PREFIX = "/version-";
+
+/** Number of records in a leaf's response, and in a gathered response. */
+export const RECORDS = { perLeaf: 8, top: 5 } as const;
+
+/** Minimum share of the shards in a gathered response. */
+const MIN_COVERAGE = 0.5;
+
+/**
+ * Builds a version of the configuration. Each has one more route than the version before.
+ *
+ * @param version - The version, from 1.
+ * @returns The configuration in the operator's format.
+ */
+export function soakConfiguration(version: number): OperatorConfiguration {
+  const single = { host: HOST, service: LEDGER };
+  const gather = { shards: SHARDS, topRecords: RECORDS.top, leastShare: MIN_COVERAGE };
+  const added = Array.from({ length: version }, (_, index) => {
+    const prefix = `${VERSION_PREFIX}${index + 1}/`;
+    return { ...single, name: `version-${index + 1}`, prefix, repeatable: true };
+  });
+  return toOperatorConfiguration({
+    version,
+    routes: [
+      { host: HOST, name: "sweep", prefix: "/sweep/", repeatable: true, gather },
+      {
+        ...{ host: HOST, name: "home", prefix: REGIONAL_ROUTE.prefix, repeatable: true, gather },
+        homes: [REGIONAL_ROUTE.region],
+      },
+      { ...single, name: LEDGER, prefix: `/${LEDGER}/`, repeatable: false },
+      ...added,
+    ],
+    services: [...SHARDS, LEDGER],
+  });
+}
--- a/fault_soak/soak_fleet.ts
+++ b/fault_soak/soak_fleet.ts
@@ -8,30 +8,17 @@
   BoxFleet,
   type DataCentreName,
   type LeafDefect,
-  type OperatorConfiguration,
   type PlatformBox,
   type RecordLeafStandin,
   ROLLOUT_BOUNDS,
-  toOperatorConfiguration,
 } from "../platform/standin/mod.js";
 import type { Disturbance } from "./disturbance.js";
 import { LinkProxy } from "./link_proxy.js";
-
-/** Shards of the gathered route. */
-export const SHARDS: ReadonlyArray<string> = ["shard-1", "shard-2", "shard-3", "shard-4"];
-
-/** Service of the route whose requests are not repeatable. */
-export const LEDGER = "ledger";
-
-/** Host of all routes. */
-export const HOST = "h.example";
+import { LEDGER, RECORDS, SHARDS, soakConfiguration } from "./soak_configuration.js";
 
 /** Part of a path whose requests crash leafs. */
 export const CRASHING_PATH_PART = "ends-leafs-";
 
-/** Route with a single allowed region, and the data centre in that region. */
-export const REGIONAL_ROUTE = { prefix: "/home/", region: "south", dataCentre: "hall-b" } as const;
-
 /** Time after which no requests may reach an evacuated data centre, in milliseconds. */
 const EVACUATION_MS = 2_500;
 
@@ -42,12 +29,6 @@
   untilMs: number;
 }
 
-/** Number of records in a leaf's response, and in a gathered response. */
-export const RECORDS = { perLeaf: 8, top: 5 } as const;
-
-/** Minimum share of the shards in a gathered response. */
-const MIN_COVERAGE = 0.5;
-
 const LEAF_ZONES: ReadonlyArray<DataCentreName> = ["hall-a", "hall-b"];
 /** Data centres of the boxes, assigned in turn. */
 const BOX_ZONES: ReadonlyArray<DataCentreName> = ["hall-a", "hall-a", "hall-b", "hall-b"];
@@ -146,7 +127,7 @@
   /** Writes the next configuration, which has one more route: `/version-N/`. */
   changeConfiguration(): void {
     this.#changedAtMs.push(performance.now());
-    this.fleet.configure(configuration(this.version));
+    this.fleet.configure(soakConfiguration(this.version));
   }
 
   /** Requests the evacuation of a data centre. */
@@ -168,7 +149,7 @@
    * latest ones.
    */
   rewriteEntries(): void {
-    this.fleet.configure(configuration(this.version));
+    this.fleet.configure(soakConfiguration(this.version));
     for (const { dataCentre, untilMs } of this.evacuations) {
       if (untilMs === Number.POSITIVE_INFINITY) {
         this.fleet.platform.put("evacuations", dataCentre, {});
@@ -289,25 +270,3 @@
     });
   }
 }
-
-function configuration(version: number): OperatorConfiguration {
-  const single = { host: HOST, service: LEDGER };
-  const gather = { shards: SHARDS, topRecords: RECORDS.top, leastShare: MIN_COVERAGE };
-  const added = Array.from({ length: version }, (_, index) => {
-    const name = `version-${index + 1}`;
-    return { ...single, name, prefix: `/${name}/`, repeatable: true };
-  });
-  return toOperatorConfiguration({
-    version,
-    routes: [
-      { host: HOST, name: "sweep", prefix: "/sweep/", repeatable: true, gather },
-      {
-        ...{ host: HOST, name: "home", prefix: REGIONAL_ROUTE.prefix, repeatable: true, gather },
-        homes: [REGIONAL_ROUTE.region],
-      },
-      { ...single, name: LEDGER, prefix: `/${LEDGER}/`, repeatable: false },
-      ...added,
-    ],
-    services: [...SHARDS, LEDGER],
-  });
-}
--- a/fault_soak/soak_rollouts.ts
+++ b/fault_soak/soak_rollouts.ts
@@ -8,7 +8,8 @@
 import { type LeafDefect, RolloutTrial } from "../platform/standin/mod.js";
 import { delay } from "../standins/waiting.js";
 import { type Disturbance, isDisturbed, isHeldUp } from "./disturbance.js";
-import { LEDGER, SHARDS, type SoakFleet } from "./soak_fleet.js";
+import { LEDGER, SHARDS } from "./soak_configuration.js";
+import type { SoakFleet } from "./soak_fleet.js";
 
 /** Duration of an order, in seconds. */
 const DURATION_S = { min: 4, max: 6 } as const;
