--- a/entry/hedging.ts
+++ b/entry/hedging.ts
@@ -76,9 +76,7 @@
   const untilHedgeMs = hedgeDelayMs(state, fetch.service) - elapsedMs(fetch, nowMs);
   const sent = isUnresponsive
     ? bypassUnresponsivePool(state, fetch, { poolId: first.poolId, nowMs })
-    : untilHedgeMs > 0
-      ? step<EntryState, EntryEffect>(state)
-      : sendHedge(state, fetch, nowMs);
+    : sendHedgeIfDue(state, fetch, { untilHedgeMs, nowMs });
   return andThen(sent, (next) =>
     step<EntryState, EntryEffect>(next, {
       kind: "setTimer",
@@ -98,7 +96,14 @@
   return untilHedgeMs > 0 ? Math.min(untilHedgeMs, UNRESPONSIVE_AFTER_MS) : UNRESPONSIVE_AFTER_MS;
 }
 
-function sendHedge(state: EntryState, fetch: Fetch, nowMs: number): EntryStep {
+function sendHedgeIfDue(
+  state: EntryState,
+  fetch: Fetch,
+  { untilHedgeMs, nowMs }: { readonly untilHedgeMs: number; readonly nowMs: number },
+): EntryStep {
+  if (untilHedgeMs > 0) {
+    return step(state);
+  }
   const isOnlyAttempt = fetch.attempts.filter((attempt) => attempt.pending).length === 1;
   const target = isOnlyAttempt ? chooseTarget(state, fetch, nowMs) : undefined;
   const tried = fetch.attempts.some((attempt) => attempt.leafId === target?.leaf.leafId);
--- a/pool/pool_shell.ts
+++ b/pool/pool_shell.ts
@@ -164,6 +164,7 @@
     }
   }
 
+  /** Handles what an entry has sent, unless it has disconnected. */
   function handleArrived(entryId: string, stream: EntryStream): void {
     const cancelledCallIds = stream.arrivedCancellations;
     const cancelled = new Set(cancelledCallIds);
