--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -192,6 +192,7 @@
   seeds = undefined;
   /** Further bounds of the settings, as lines of TOML. */
   bounds = [];
+  contracts = ["base", "drain", "config", "cost", "retry", "recover", "scatter", "platform"];
 
   constructor(record, platform, network) {
     this.record = record;
@@ -231,7 +232,7 @@
       "internalPorts = [7380,7395]",
       `seeds = [${seeds.map((each) => `"${each}:${PORTS.control}"`).join(",")}]`,
       "heartbeatMs = 1200",
-      'contracts = ["base","drain","config","cost","retry","recover","scatter","platform"]',
+      `contracts = ${JSON.stringify(this.contracts)}`,
       "[zones]",
       ...Object.entries(ZONES).map(([each, region]) => `${each} = "${region}"`),
       "[bindAddresses]",
