--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -198,6 +198,18 @@
     this.record = record;
     this.platform = platform;
     this.network = network;
+    // Also if the script itself is ended.
+    process.once("exit", () => this.killAll());
+    for (const name of ["SIGTERM", "SIGINT", "SIGHUP"]) {
+      process.once(name, () => process.exit(2));
+    }
+  }
+
+  killAll() {
+    for (const box of this.boxes) {
+      box.isSupervised = false;
+      box.child?.kill("SIGKILL");
+    }
   }
 
   static async start(record) {
