--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -34,6 +34,9 @@
 /** Zones and regions as on the sheets of the small deployments. */
 const ZONES = { "hall-a": "north", "hall-b": "south", "hall-c": "east" };
 
+/** Longest time of a case, in ms. */
+const MAX_CASE_MS = 115_000;
+
 /** Whether the disruption happens; `TROUBLE=0` leaves it out. */
 export const HAS_TROUBLE = process.env.TROUBLE !== "0";
 
@@ -291,6 +294,13 @@
  */
 export async function runCase(caseUrl, run) {
   const record = new RunRecord(caseUrl);
+  const giveUp = (reason) => {
+    record.add(`could not run: ${reason}`);
+    process.stderr.write(`could not run: ${reason}\n`);
+    process.exit(2);
+  };
+  setTimeout(() => giveUp("it took too long"), MAX_CASE_MS).unref();
+  process.on("uncaughtException", (error) => giveUp(error.stack));
   let deployment;
   let exitCode = 2;
   try {
