A running request stays in the regions that it was accepted for

Cause: the allowed regions of each call were looked up by host and path in the configuration in force, and a missing route counted as one without a restriction. A relaying box looked them up in its own configuration, which may be older or newer, as relay requests carried no regions. Change: a request takes its regions along from its acceptance (AcceptedRoute, without which no call compiles), and relay requests carry them. Later configurations only take regions away; "any" and "only these" are two kinds, so that an empty list allows none. Former builds do not know the field and decline restricted relay requests, whose leafs are then called directly.

--- a/box/_relay_requests.ts
+++ b/box/_relay_requests.ts
@@ -150,12 +150,13 @@
 
   #commonFields(deadlineAtMs: number) {
     const { forwarded, nowMs, terms } = this.#options;
-    const { method, path, headers, body } = forwarded;
+    const { acceptedRoute, method, path, headers, body } = forwarded;
+    const { allowedRegions } = acceptedRoute;
     const { target } = terms.route;
     const topRecords = target.kind === "gather" ? target.topRecords : 0;
     const leftMs = Math.max(1, Math.floor(deadlineAtMs - nowMs()));
     const request: LeafRequest = { requestId: terms.requestId, method, path, headers, body };
-    return { ...request, topRecords, leftMs };
+    return { ...request, allowedRegions, topRecords, leftMs };
   }
 
   #send(
--- a/box/_run_context.ts
+++ b/box/_run_context.ts
@@ -17,7 +17,7 @@
 import type { CallPermission } from "../quarantine/mod.js";
 import type { BoxSelection } from "../relay/mod.js";
 import type { BoxChoice, LeafChoice, RequestContext } from "../request/mod.js";
-import type { RouteKey } from "../routing/mod.js";
+import type { AcceptedRoute } from "../routing/mod.js";
 import type { RunnerOptions } from "./_runner_options.js";
 
 /** The request for which decisions are made. */
@@ -26,8 +26,8 @@
   readonly fingerprint: string;
   /** The request's body; `undefined` if it has none. */
   readonly body: Buffer | undefined;
-  /** Host and path from which the route is determined. */
-  readonly routeKey: RouteKey;
+  /** What the request was accepted under. */
+  readonly acceptedRoute: AcceptedRoute;
   /** Latency objective, in milliseconds. */
   readonly objectiveMs: number;
   /** Placement of calls that the policy selected. */
@@ -68,7 +68,7 @@
    * @param options - The request.
    */
   constructor(box: RunnerOptions, options: RunContextOptions) {
-    const { body, fingerprint, objectiveMs, placement, routeKey } = options;
+    const { acceptedRoute, body, fingerprint, objectiveMs, placement } = options;
     this.#box = box;
     this.#hasBody = body !== undefined;
     this.#fingerprint = fingerprint;
@@ -79,7 +79,7 @@
     this.#reportedQueueMs = (leaf) => this.#queueMsAt(box.places.placeOf(leaf));
     this.#isCold = (leafId) => box.access.isCold(leafId);
     this.#mayCall = (leaf) => {
-      const blockReason = box.access.blockReasonForLeaf(leaf, routeKey);
+      const blockReason = box.access.blockReasonForLeaf(leaf, acceptedRoute);
       if (blockReason !== undefined) {
         this.#blockReasons.push(blockReason);
       }
--- a/box/_runner_options.ts
+++ b/box/_runner_options.ts
@@ -11,12 +11,12 @@
 import type { ExtraCallKind } from "../limits/mod.js";
 import type { Quarantine } from "../quarantine/mod.js";
 import type { RelayCalls } from "../relay/mod.js";
-import type { RouteKey } from "../routing/mod.js";
+import type { AcceptedRoute } from "../routing/mod.js";
 
 /** A request as it is forwarded to leafs, without the id of the caller's attempt. */
 export interface ForwardedRequest extends Omit<LeafRequest, "requestId"> {
-  /** Host and path from which the route is determined. */
-  readonly routeKey: RouteKey;
+  /** What the request was accepted under. */
+  readonly acceptedRoute: AcceptedRoute;
   /** Hash of the request's content, equal for identical queries. */
   readonly fingerprint: string;
 }
--- a/box/caller_server.ts
+++ b/box/caller_server.ts
@@ -28,7 +28,8 @@
   readonly opensConnection: boolean;
   readonly host: string;
   readonly terms: CallerHeaders;
-  readonly forwarded: ForwardedRequest;
+  /** The request without what its route determines. */
+  readonly forwarded: Omit<ForwardedRequest, "acceptedRoute">;
 }
 
 /** Sends the reply to the caller. */
@@ -126,12 +127,11 @@
 ): void {
   const { method = "GET", url: path = "/" } = request;
   const host = request.headers.host ?? "";
-  const forwarded: ForwardedRequest = {
+  const forwarded = {
     method,
     path,
     headers: forwardedHeaders(request.rawHeaders),
     body,
-    routeKey: { host, path },
     fingerprint: requestFingerprint({ method, caller: host, path, body }),
   };
   const incoming: IncomingRequest = {
--- a/box/request_handler.ts
+++ b/box/request_handler.ts
@@ -12,7 +12,13 @@
   type Reply,
   type RequestTerms,
 } from "../request/mod.js";
-import { findRoute, type Route, type ServiceCredits, selectService } from "../routing/mod.js";
+import {
+  acceptRoute,
+  findRoute,
+  type Route,
+  type ServiceCredits,
+  selectService,
+} from "../routing/mod.js";
 import type { BoxTelemetry, LogFields } from "../telemetry/mod.js";
 import type { IncomingRequest, ReplyCallback } from "./caller_server.js";
 import type { RequestRunner, RequestSummary } from "./request_runner.js";
@@ -74,7 +80,8 @@
       return () => undefined;
     }
     const { host, forwarded } = incoming;
-    const route = findRoute(routes, { host, path: forwarded.path });
+    const routeKey = { host, path: forwarded.path };
+    const route = findRoute(routes, routeKey);
     if (route === undefined) {
       this.#options.telemetry.logRequest("request: no route", {
         requestId: incoming.terms.requestId,
@@ -111,7 +118,7 @@
       terms,
       placement: admission.placement,
       services: this.#servicesOf(route),
-      forwarded,
+      forwarded: { ...forwarded, acceptedRoute: acceptRoute(routeKey, route) },
       onReply: (reply, summary) => {
         sendReply(reply);
         this.#logReply(reply, summary, routes.configuration.version);
--- a/box/request_terms_test.ts
+++ b/box/request_terms_test.ts
@@ -29,7 +29,6 @@
       path: "/",
       headers: [],
       body: undefined,
-      routeKey: { host: "h", path: "/" },
       fingerprint: "f",
     },
   };
--- a/box/version_selection_test.ts
+++ b/box/version_selection_test.ts
@@ -6,7 +6,7 @@
 import type { Leaf } from "../leafs/mod.js";
 import { newRequest, type RequestEffect, stepRequest } from "../request/mod.js";
 import type { VersionBlockCause } from "../rollouts/version_access.js";
-import type { Route } from "../routing/mod.js";
+import { ANY_REGION, type Route } from "../routing/mod.js";
 import { SAMPLE_LEAF } from "../standins/sample_leaf.js";
 import { RunContext } from "./_run_context.js";
 import type { RunnerOptions } from "./_runner_options.js";
@@ -59,9 +59,9 @@
     extraCallsLeft: () => 9,
     takeExtraCall: () => true,
   } as unknown as RunnerOptions;
-  const routeKey = { host: "h", path: "/a/" };
+  const acceptedRoute = { key: { host: "h", path: "/a/" }, allowedRegions: ANY_REGION };
   return new RunContext(box, {
-    ...{ fingerprint: "q", body: undefined, routeKey, objectiveMs: 100 },
+    ...{ fingerprint: "q", body: undefined, acceptedRoute, objectiveMs: 100 },
     placement: "least-loaded",
   });
 }
--- a/calls/_leaf_call_harness.ts
+++ b/calls/_leaf_call_harness.ts
@@ -9,6 +9,7 @@
 import { LEAF_HEADERS } from "../platform/mod.js";
 import { Quarantine } from "../quarantine/mod.js";
 import type { AttemptOutcome } from "../request/mod.js";
+import { ANY_REGION } from "../routing/mod.js";
 import { type LeafCall, maxAnswerBytes } from "./leaf_call.js";
 import { LeafCalls } from "./leaf_calls.js";
 
@@ -90,7 +91,7 @@
     path: "/x",
     headers: ["Host", "h", LEAF_HEADERS.requestId, requestId],
     body: undefined,
-    routeKey: { host: "h", path: "/x" },
+    acceptedRoute: { key: { host: "h", path: "/x" }, allowedRegions: ANY_REGION },
     fingerprint: requestId,
     isTrial: false,
     isFirst: true,
--- a/calls/leaf_call.ts
+++ b/calls/leaf_call.ts
@@ -5,7 +5,7 @@
  */
 
 import type { Leaf } from "../leafs/mod.js";
-import type { RouteKey } from "../routing/mod.js";
+import type { AcceptedRoute } from "../routing/mod.js";
 
 /**
  * A caller's request as leafs receive it, whether this box calls them or another one does on its
@@ -25,8 +25,8 @@
 /** A call to be made. */
 export interface LeafCall extends LeafRequest {
   readonly leaf: Leaf;
-  /** Host and path of the request; the same object for all its calls. */
-  readonly routeKey: RouteKey;
+  /** What the request was accepted under; the same object for all its calls. */
+  readonly acceptedRoute: AcceptedRoute;
   /** Identifies the query: equal for all requests with the same content. */
   readonly fingerprint: string;
   /** Whether it is a trial call, the only call of a suspected query in flight. */
--- a/leaf_access/block_reason.ts
+++ b/leaf_access/block_reason.ts
@@ -4,14 +4,15 @@
  * @module
  */
 import type { VersionBlockCause } from "../rollouts/mod.js";
+import type { AllowedRegions } from "../routing/mod.js";
 
 /** Why a call may not be sent to a leaf. */
 export type BlockReason =
-  /** The route is restricted to other regions. */
+  /** The request is restricted to other regions. */
   | {
       readonly kind: "region";
       readonly region: string;
-      readonly allowedRegions: ReadonlyArray<string>;
+      readonly allowedRegions: AllowedRegions;
     }
   /** The leaf's data centre is evacuated. */
   | { readonly kind: "evacuated"; readonly dataCentre: string }
@@ -55,13 +56,18 @@
   ) => string;
 } = {
   region: ({ region, allowedRegions }) =>
-    `not served in ${region}, only in ${allowedRegions.join(" and ")}`,
+    `not served in ${region}, only in ${describeRegions(allowedRegions)}`,
   evacuated: ({ dataCentre }) => `${dataCentre} is evacuated`,
   version: describeVersionBlock,
   cold: ({ leafId }) => `${leafId} is cold and its quota for this second is used up`,
   quarantined: () => "query is quarantined",
 };
 
+function describeRegions(allowed: AllowedRegions): string {
+  const regions = allowed.kind === "only" ? allowed.regions : [];
+  return regions.length === 0 ? "none of the regions" : regions.join(" and ");
+}
+
 /**
  * Describes a block reason, for logs and operators.
  *
--- a/leaf_access/leaf_access.ts
+++ b/leaf_access/leaf_access.ts
@@ -1,6 +1,7 @@
 /**
- * Decides whether a call may be sent to a leaf: by the allowed regions of its route, evacuated data
- * centres, the versions that rollouts permit, the limits of cold leafs, and quarantined queries.
+ * Decides whether a call may be sent to a leaf: by the allowed regions of its request, evacuated
+ * data centres, the versions that rollouts permit, the limits of cold leafs, and quarantined
+ * queries.
  *
  * Every path to a leaf checks twice: when a leaf is selected, and right before anything is sent, as
  * calls wait for connections and the decision may have changed meanwhile. Boxes that relay calls
@@ -11,7 +12,13 @@
 import type { Leaf } from "../leafs/mod.js";
 import type { Quarantine } from "../quarantine/mod.js";
 import { ANY_VERSION, type VersionAccess, type VersionCallEnd } from "../rollouts/mod.js";
-import { findRoute, type RouteKey, type RouteTable } from "../routing/mod.js";
+import {
+  type AcceptedRoute,
+  type CurrentRoute,
+  currentRoute,
+  isAllowedIn,
+  type RouteTable,
+} from "../routing/mod.js";
 import type { BlockReason } from "./block_reason.js";
 import type { ColdLeafs } from "./cold_leafs.js";
 
@@ -33,8 +40,8 @@
 /** A call to be checked. */
 export interface AccessCall {
   readonly leaf: Leaf;
-  /** Host and path of its request; the same object for all calls of one request. */
-  readonly routeKey: RouteKey;
+  /** What its request was accepted under; the same object for all calls of one request. */
+  readonly acceptedRoute: AcceptedRoute;
   /** Identifies the query: equal for all requests with the same content. */
   readonly fingerprint: string;
   /** Whether it is a trial call, the only call of a suspected query in flight. */
@@ -51,15 +58,11 @@
 export type EndRecorder = (end: Pick<VersionCallEnd, "result" | "elapsedMs">) => void;
 
 /** The last route that was looked up. */
-interface CachedRoute {
-  readonly routeKey: RouteKey;
+interface CachedRoute extends CurrentRoute {
+  readonly acceptedRoute: AcceptedRoute;
   readonly routes: RouteTable | undefined;
-  readonly name: string;
-  readonly allowedRegions: ReadonlyArray<string>;
 }
 
-const UNRESTRICTED: ReadonlyArray<string> = [];
-
 const IGNORE_END: EndRecorder = () => undefined;
 
 /** Decides which calls may be sent to which leafs, as seen by this box. */
@@ -82,18 +85,19 @@
    * leaf is selected.
    *
    * @param leaf - The leaf.
-   * @param routeKey - Host and path of the request.
+   * @param acceptedRoute - What the request was accepted under.
    * @returns The reason, or `undefined` if the leaf may be used.
    */
-  blockReasonForLeaf(leaf: Leaf, routeKey: RouteKey): BlockReason | undefined {
+  blockReasonForLeaf(leaf: Leaf, acceptedRoute: AcceptedRoute): BlockReason | undefined {
     const { coldLeafs, evacuated, regionOf } = this.#options;
     const { dataCentre, leafId } = leaf;
     if (evacuated().has(dataCentre)) {
       return { kind: "evacuated", dataCentre };
     }
-    const { allowedRegions } = this.#routeOf(routeKey);
-    if (allowedRegions.length > 0 && !allowedRegions.includes(regionOf(dataCentre))) {
-      return { kind: "region", region: regionOf(dataCentre), allowedRegions };
+    const region = regionOf(dataCentre);
+    const { allowedRegions } = this.#routeOf(acceptedRoute);
+    if (!isAllowedIn(allowedRegions, region)) {
+      return { kind: "region", region, allowedRegions };
     }
     const versionBlock = this.versionBlockOf(leaf);
     if (versionBlock !== undefined) {
@@ -131,15 +135,15 @@
    * @returns The reason, or `undefined` if the call may be sent.
    */
   blockReasonForCall({
+    acceptedRoute,
     fingerprint,
     isTrial,
     leaf,
-    routeKey,
   }: AccessCall): BlockReason | undefined {
     if (!isTrial && this.#options.quarantine.permission(fingerprint) !== "unrestricted") {
       return { kind: "quarantined", fingerprint };
     }
-    return this.blockReasonForLeaf(leaf, routeKey);
+    return this.blockReasonForLeaf(leaf, acceptedRoute);
   }
 
   /**
@@ -151,14 +155,14 @@
    */
   recordCallSent(call: SentCall): EndRecorder {
     const { coldLeafs, isRemote, quarantine } = this.#options;
-    const { fingerprint, isFirst, leaf, routeKey } = call;
+    const { acceptedRoute, fingerprint, isFirst, leaf } = call;
     coldLeafs.recordCallSent(leaf);
     if (this.#versions === ANY_VERSION) {
       return IGNORE_END;
     }
     this.#versions.recordCallSent({ leaf, isFirst });
     const isSuspected = (): boolean => quarantine.permission(fingerprint) !== "unrestricted";
-    const { name: route } = this.#routeOf(routeKey);
+    const { name: route } = this.#routeOf(acceptedRoute);
     const wasCold = coldLeafs.isCold(leaf.leafId);
     const wasSuspected = isSuspected();
     return ({ result, elapsedMs }) => {
@@ -180,15 +184,13 @@
     return this.#options.coldLeafs.isCold(leafId);
   }
 
-  #routeOf(routeKey: RouteKey): CachedRoute {
+  #routeOf(acceptedRoute: AcceptedRoute): CurrentRoute {
     const routes = this.#options.routes();
     const cached = this.#cached;
-    if (cached?.routeKey === routeKey && cached.routes === routes) {
+    if (cached?.acceptedRoute === acceptedRoute && cached.routes === routes) {
       return cached;
     }
-    const route = routes === undefined ? undefined : findRoute(routes, routeKey);
-    const allowedRegions = route?.homes ?? UNRESTRICTED;
-    this.#cached = { routeKey, routes, name: route?.name ?? "", allowedRegions };
+    this.#cached = { acceptedRoute, routes, ...currentRoute(acceptedRoute, routes) };
     return this.#cached;
   }
 }
--- a/relay/_leaf_call_template.ts
+++ b/relay/_leaf_call_template.ts
@@ -18,11 +18,11 @@
  * @returns The shared properties.
  */
 export function leafCallTemplate(request: RelayRequest): LeafCallTemplate {
-  const { requestId, method, path, headers, body } = request;
+  const { allowedRegions, requestId, method, path, headers, body } = request;
   const host = hostOf(headers);
   const fingerprint = requestFingerprint({ method, caller: host, path, body });
-  const routeKey = { host, path };
-  const content = { requestId, method, path, headers, body, fingerprint, routeKey };
+  const acceptedRoute = { key: { host, path }, allowedRegions };
+  const content = { requestId, method, path, headers, body, fingerprint, acceptedRoute };
   const maxBytes = maxAnswerBytes(servicesOf(request).length);
   return { ...content, maxBytes, repeatable: true, isTrial: false };
 }
--- a/relay/_merged_relay.ts
+++ b/relay/_merged_relay.ts
@@ -106,7 +106,7 @@
     const local = (leafs().byService.get(service) ?? []).filter((leaf) => {
       return (
         distance(leaf) !== "remote" &&
-        access.blockReasonForLeaf(leaf, this.#call.routeKey) === undefined
+        access.blockReasonForLeaf(leaf, this.#call.acceptedRoute) === undefined
       );
     });
     const now = nowMs();
--- a/relay/_separate_relay.ts
+++ b/relay/_separate_relay.ts
@@ -58,7 +58,7 @@
     if (leaf === undefined || leaf.draining || health.terminated || isFull(health, leaf)) {
       return false;
     }
-    if (access.blockReasonForLeaf(leaf, this.#call.routeKey) !== undefined) {
+    if (access.blockReasonForLeaf(leaf, this.#call.acceptedRoute) !== undefined) {
       return false;
     }
     const { leftMs } = this.#request;
--- a/relay/merged_relay_test.ts
+++ b/relay/merged_relay_test.ts
@@ -4,6 +4,7 @@
 import type { LeafCalls } from "../calls/mod.js";
 import { INITIAL_LEAF_HEALTH, type Leaf, type LeafHealth } from "../leafs/mod.js";
 import type { AttemptOutcome, RelayedParts } from "../request/mod.js";
+import { ANY_REGION } from "../routing/mod.js";
 import { waitUntil } from "../standins/waiting.js";
 import { MergedRelay } from "./_merged_relay.js";
 import { RelayFrameReader } from "./relay_frames.js";
@@ -13,6 +14,7 @@
 
 const REQUEST: MergedRelayRequest = {
   ...{ kind: "merged", requestId: "r", method: "GET", path: "/x", headers: [] },
+  allowedRegions: ANY_REGION,
   ...{ body: undefined, topRecords: 5, leftMs: 1_000, services: SERVICES, waitLimitMs: 50 },
 };
 
--- a/relay/relay_calls_test.ts
+++ b/relay/relay_calls_test.ts
@@ -3,6 +3,7 @@
 import t, { type Test } from "tap";
 import type { Member } from "../model/mod.js";
 import type { RelayedParts } from "../request/mod.js";
+import { ANY_REGION } from "../routing/mod.js";
 import { sampleMember } from "../standins/sample_member.js";
 import { waitUntil } from "../standins/waiting.js";
 import { RelayCalls } from "./relay_calls.js";
@@ -21,6 +22,7 @@
   path: "/x",
   headers: [],
   body: undefined,
+  allowedRegions: ANY_REGION,
   topRecords: 5,
   leftMs: 2_000,
   services: ["s"],
--- a/relay/relay_fuzz_test.ts
+++ b/relay/relay_fuzz_test.ts
@@ -1,6 +1,7 @@
 import { deflateRawSync } from "node:zlib";
 import fc from "fast-check";
 import t from "tap";
+import { ANY_REGION } from "../routing/mod.js";
 import { corruptedValue } from "../standins/corrupted_value.js";
 import { RelayFrameReader } from "./relay_frames.js";
 import { decodeRelayRequest, encodeRelayRequest, type RelayRequest } from "./relay_request.js";
@@ -55,6 +56,7 @@
     path: "/",
     headers: [],
     body: undefined,
+    allowedRegions: ANY_REGION,
     topRecords: 1,
     leftMs: 9,
   };
--- a/relay/relay_request.ts
+++ b/relay/relay_request.ts
@@ -2,20 +2,24 @@
  * Wire format of relay requests: a deflated JSON array, followed by the bytes of the caller's body.
  * Fields are identified by position to reduce traffic between regions.
  *
- * Only a request with a body has the field with its size. Builds that cannot relay a body do not
- * know the field and reject the request, instead of sending it to leafs without its body.
+ * Only a request with a body has the field with its size, and only a request that is restricted to
+ * regions has the field that lists them. Builds that do not know a field reject the request,
+ * instead of sending it to leafs without its body or in other regions.
  *
  * @module
  */
 import { deflateRawSync, inflateRawSync } from "node:zlib";
 import * as z from "zod/mini";
 import type { LeafRequest } from "../calls/mod.js";
+import { type AllowedRegions, ANY_REGION } from "../routing/mod.js";
 
 /** Maximum size of the inflated fields of a relay request, in bytes. */
 const MAX_REQUEST_BYTES = 1_048_576;
 
 /** The caller's request and the terms of its parts. */
 interface PartsRequest extends LeafRequest {
+  /** Regions whose leafs may be called, as the requesting box knows them. */
+  readonly allowedRegions: AllowedRegions;
   readonly topRecords: number;
   /** Remaining time until the deadline, in milliseconds (an integer). */
   readonly leftMs: number;
@@ -59,12 +63,15 @@
   z.number(), // remaining time
   z.array(z.string()), // services
 ] as const;
-const BODY_SIZE_FIELD = z.optional(z.int().check(z.minimum(0)));
+/** `null` for no body where another field follows. */
+const BODY_SIZE_FIELD = z.optional(z.nullable(z.int().check(z.minimum(0))));
+const REGIONS_FIELD = z.optional(z.array(z.string()));
 const MERGED_FIELDS = z.tuple([
   z.literal("merged"),
   ...REQUEST_FIELDS,
   z.number(), // maximum time before the first frame
   BODY_SIZE_FIELD,
+  REGIONS_FIELD,
 ]);
 const SEPARATE_FIELDS = z.tuple([
   z.literal("separate"),
@@ -72,6 +79,7 @@
   z.array(z.string()), // leaf ids, one per service
   z.string(), // minimum record
   BODY_SIZE_FIELD,
+  REGIONS_FIELD,
 ]);
 const RELAY_REQUEST_FIELDS = z.union([MERGED_FIELDS, SEPARATE_FIELDS]);
 
@@ -98,10 +106,20 @@
   const { kind, requestId, method, path, headers, body, topRecords, leftMs } = request;
   const encode = ENCODERS[kind] as (request: RelayRequest) => ReadonlyArray<unknown>;
   const fields = [kind, requestId, method, path, headers, topRecords, leftMs, ...encode(request)];
-  if (body === undefined) {
-    return deflateRawSync(JSON.stringify(fields));
+  const encoded = deflateRawSync(JSON.stringify([...fields, ...optionalFields(request)]));
+  return body === undefined ? encoded : Buffer.concat([encoded, body]);
+}
+
+/** Returns the fields that only some requests have. */
+function optionalFields({ allowedRegions, body }: RelayRequest): ReadonlyArray<unknown> {
+  if (allowedRegions.kind === "only") {
+    return [body?.length ?? null, allowedRegions.regions];
   }
-  return Buffer.concat([deflateRawSync(JSON.stringify([...fields, body.length])), body]);
+  return body === undefined ? [] : [body.length];
+}
+
+function decodeRegions(regions: ReadonlyArray<string> | undefined): AllowedRegions {
+  return regions === undefined ? ANY_REGION : { kind: "only", regions };
 }
 
 /**
@@ -119,12 +137,13 @@
   encoded: Buffer,
 ): MergedRelayRequest | undefined {
   const [kind, requestId, method, path, headers, topRecords, leftMs, services, ...rest] = fields;
-  const [waitLimitMs, bodySizeBytes] = rest;
+  const [waitLimitMs, bodySizeBytes, regions] = rest;
   if (!hasBytes(encoded, bodySizeBytes)) {
     return undefined;
   }
   const body = bodyOf(encoded, bodySizeBytes);
-  const request = { requestId, method, path, headers, body, topRecords, leftMs };
+  const allowedRegions = decodeRegions(regions);
+  const request = { allowedRegions, requestId, method, path, headers, body, topRecords, leftMs };
   return { kind, ...request, services, waitLimitMs };
 }
 
@@ -133,25 +152,28 @@
   encoded: Buffer,
 ): SeparateRelayRequest | undefined {
   const [kind, requestId, method, path, headers, topRecords, leftMs, services, ...rest] = fields;
-  const [leafIds, encodedMinRecord, bodySizeBytes] = rest;
+  const [leafIds, encodedMinRecord, bodySizeBytes, regions] = rest;
   if (leafIds.length !== services.length || !hasBytes(encoded, bodySizeBytes)) {
     return undefined;
   }
   const minRecord = encodedMinRecord === "" ? undefined : Buffer.from(encodedMinRecord, "base64");
   const calls = services.map((service, index) => ({ service, leafId: leafIds[index] ?? "" }));
   const body = bodyOf(encoded, bodySizeBytes);
-  const request = { requestId, method, path, headers, body, topRecords, leftMs };
+  const allowedRegions = decodeRegions(regions);
+  const request = { allowedRegions, requestId, method, path, headers, body, topRecords, leftMs };
   return { kind, ...request, calls, minRecord };
 }
 
 /** Whether a request that states the size of its body is long enough to contain it. */
-function hasBytes(encoded: Buffer, bodySizeBytes = 0): boolean {
-  return bodySizeBytes <= encoded.length;
+function hasBytes(encoded: Buffer, bodySizeBytes: number | null | undefined): boolean {
+  return (bodySizeBytes ?? 0) <= encoded.length;
 }
 
 /** Returns the body, which ends the request; inflating stops at the end of the fields. */
-function bodyOf(encoded: Buffer, bodySizeBytes: number | undefined): Buffer | undefined {
-  return bodySizeBytes === undefined ? undefined : encoded.subarray(encoded.length - bodySizeBytes);
+function bodyOf(encoded: Buffer, bodySizeBytes: number | null | undefined): Buffer | undefined {
+  return typeof bodySizeBytes === "number"
+    ? encoded.subarray(encoded.length - bodySizeBytes)
+    : undefined;
 }
 
 /**
--- a/relay/relay_request_test.ts
+++ b/relay/relay_request_test.ts
@@ -1,9 +1,11 @@
 import { deflateRawSync, inflateRawSync } from "node:zlib";
 import fc from "fast-check";
 import t from "tap";
+import { ANY_REGION } from "../routing/mod.js";
 import { decodeRelayRequest, encodeRelayRequest, type RelayRequest } from "./relay_request.js";
 
 const REQUEST = {
+  allowedRegions: ANY_REGION,
   requestId: "r",
   method: "GET",
   path: "/a?b=c",
@@ -47,6 +49,31 @@
   }
 });
 
+// Guards against a box that relays a request to leafs outside its allowed regions, because its own
+// configuration lacks the route.
+t.test("a relay request carries the allowed regions", async (t) => {
+  for (const regions of [[], ["north"], ["north", "south"]]) {
+    const allowedRegions = { kind: "only", regions } as const;
+    for (const body of [undefined, ...BODIES]) {
+      for (const request of REQUESTS) {
+        const restricted = { ...request, body, allowedRegions };
+        t.same(decodeRelayRequest(encodeRelayRequest(restricted)), restricted);
+      }
+    }
+  }
+});
+
+t.test("builds that do not know allowed regions reject a restricted request", async (t) => {
+  const FIELD_COUNTS = { merged: 10, separate: 11 } as const;
+  const allowedRegions = { kind: "only", regions: ["north"] } as const;
+  for (const request of REQUESTS) {
+    const fields = JSON.parse(
+      inflateRawSync(encodeRelayRequest({ ...request, allowedRegions })).toString(),
+    );
+    t.equal(fields.length, FIELD_COUNTS[request.kind] + 1, request.kind);
+  }
+});
+
 t.test("decodeRelayRequest() rejects a request that is shorter than its body", async (t) => {
   const fields = ["merged", "r", "POST", "/", [], 1, 1, [], 1, 1_000_000];
   t.equal(decodeRelayRequest(deflateRawSync(JSON.stringify(fields))), undefined);
--- a/relay/relay_server_test.ts
+++ b/relay/relay_server_test.ts
@@ -1,6 +1,7 @@
 // Guards against calls to leafs that a box begins for others right before its exit, which cuts them.
 import { createServer } from "node:http";
 import t from "tap";
+import { ANY_REGION } from "../routing/mod.js";
 import { SAMPLE_LEAF } from "../standins/sample_leaf.js";
 import { sampleMember } from "../standins/sample_member.js";
 import { makeRelayHarness } from "./_relay_harness.js";
@@ -12,7 +13,7 @@
 
 const FORWARDED = {
   ...{ requestId: "r", method: "GET", path: "/x", headers: [], body: undefined },
-  ...{ topRecords: 5, leftMs: 2_000 },
+  ...{ allowedRegions: ANY_REGION, topRecords: 5, leftMs: 2_000 },
 };
 
 const REQUESTS = [
--- a/relay/relay_version_test.ts
+++ b/relay/relay_version_test.ts
@@ -2,6 +2,7 @@
 // which bounds the calls to a version by its own counts.
 
 import t from "tap";
+import { ANY_REGION } from "../routing/mod.js";
 import { SAMPLE_LEAF } from "../standins/sample_leaf.js";
 import { MergedRelay } from "./_merged_relay.js";
 import { makeRelayHarness, RESPONSE } from "./_relay_harness.js";
@@ -9,6 +10,7 @@
 
 const FORWARDED = {
   ...{ requestId: "r", method: "GET", path: "/x", headers: [], body: undefined },
+  allowedRegions: ANY_REGION,
   topRecords: 5,
 };
 
--- a/relay/relayed_content_test.ts
+++ b/relay/relayed_content_test.ts
@@ -2,6 +2,7 @@
 // against a box that does not recognize a crash-inducing query when it relays it.
 import t from "tap";
 import { requestFingerprint } from "../quarantine/mod.js";
+import type { AllowedRegions } from "../routing/mod.js";
 import { SAMPLE_LEAF } from "../standins/sample_leaf.js";
 import { MergedRelay } from "./_merged_relay.js";
 import { makeRelayHarness, RESPONSE } from "./_relay_harness.js";
@@ -12,7 +13,8 @@
   ...{ requestId: "r", method: "POST", path: "/x?y" },
   ...{ headers: ["Host", "h", "Content-Type", "a/b"], body: Buffer.from([0, 255]) },
 };
-const TERMS = { topRecords: 5, leftMs: 1_000 };
+const ONLY_NORTH: AllowedRegions = { kind: "only", regions: ["north"] };
+const TERMS = { allowedRegions: ONLY_NORTH, topRecords: 5, leftMs: 1_000 };
 const MERGED = { ...CONTENT, ...TERMS, kind: "merged", services: ["s"], waitLimitMs: 50 } as const;
 const SEPARATE = {
   ...{ ...CONTENT, ...TERMS, kind: "separate" as const, minRecord: undefined },
@@ -31,8 +33,10 @@
   new SeparateRelay(decoded(SEPARATE), RESPONSE, options).start();
   merged.stop();
   const fingerprint = requestFingerprint({ ...CONTENT, caller: "h" });
+  const key = { host: "h", path: "/x?y" };
+  const acceptedRoute = { key, allowedRegions: TERMS.allowedRegions };
   t.equal(sent.length, 2);
   for (const call of sent) {
-    t.match(call, { ...CONTENT, fingerprint, routeKey: { host: "h", path: "/x?y" } });
+    t.match(call, { ...CONTENT, fingerprint, acceptedRoute });
   }
 });
--- a/routing/mod.ts
+++ b/routing/mod.ts
@@ -3,6 +3,8 @@
  *
  * @module
  */
+export * from "./accepted_route.js";
+export * from "./allowed_regions.js";
 export * from "./configuration.js";
 export * from "./route_table.js";
 export * from "./select_service.js";
