Shares of a split route hold from the first request after a change of weights

Cause: the credits of the weighted round robin were kept by the route's name over configurations, in units of the former weights; 500 credits take 500 requests to level out under weights of 1. The map also kept the names of all routes ever seen. Change: a route's only state is a position from 0 up to 1 that advances by the golden ratio's fraction, while the weights divide the same range; it has no unit that could outlive the weights. Boxes begin at random positions. Routes that the configuration drops are forgotten.

--- a/box/request_handler.ts
+++ b/box/request_handler.ts
@@ -16,8 +16,8 @@
   acceptRoute,
   findRoute,
   type Route,
-  type ServiceCredits,
-  selectService,
+  type RouteTable,
+  ServiceSelector,
 } from "../routing/mod.js";
 import type { BoxTelemetry, LogFields } from "../telemetry/mod.js";
 import type { IncomingRequest, ReplyCallback } from "./caller_server.js";
@@ -49,7 +49,9 @@
 /** Handles requests. */
 export class RequestHandler {
   readonly #options: RequestHandlerOptions;
-  readonly #serviceCredits = new Map<string, ServiceCredits>();
+  readonly #selector = new ServiceSelector(Math.random);
+  /** Routes for which the selector was last used. */
+  #selectorRoutes: RouteTable | undefined;
 
   /**
    * @param options - Dependencies of the handler.
@@ -117,7 +119,7 @@
     const run = this.#options.runner.run({
       terms,
       placement: admission.placement,
-      services: this.#servicesOf(route),
+      services: this.#servicesOf(route, routes),
       forwarded: { ...forwarded, acceptedRoute: acceptRoute(routeKey, route) },
       onReply: (reply, summary) => {
         sendReply(reply);
@@ -148,16 +150,15 @@
     });
   }
 
-  #servicesOf({ name, target }: Route): ReadonlyArray<string> {
+  #servicesOf({ name, target }: Route, routes: RouteTable): ReadonlyArray<string> {
     if (target.kind === "gather") {
       return target.shards;
     }
-    const { service, credits } = selectService(
-      target.services,
-      this.#serviceCredits.get(name) ?? new Map(),
-    );
-    this.#serviceCredits.set(name, credits);
-    return [service];
+    if (this.#selectorRoutes !== routes) {
+      this.#selectorRoutes = routes;
+      this.#selector.retainRoutes(routes.configuration.routes);
+    }
+    return [this.#selector.select({ name, services: target.services })];
   }
 
   #logDisconnect(summary: RequestSummary, version: number): void {
--- a/routing/mod.ts
+++ b/routing/mod.ts
@@ -7,4 +7,4 @@
 export * from "./allowed_regions.js";
 export * from "./configuration.js";
 export * from "./route_table.js";
-export * from "./select_service.js";
+export * from "./service_selector.js";
